--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <cstdio>
 #include <optional>
 #include <utility>
 
@@ -25,6 +26,12 @@
 // 1xx answers ahead of the one that counts; more are noise.
 constexpr int kMostInterim = 8;
 
+// The log says at most once in so long what went wrong, and nothing while nothing does.
+constexpr auto kLogEvery = std::chrono::seconds(1);
+constexpr const char* kTroubles[] = {"not listed",      "no room",     "dial refused", "dial timed out",
+                                     "dial stale",      "request cut", "early answer", "reset on fresh",
+                                     "reset on reused", "unreadable"};
+
 bool Declined(const HttpResponse& response) {
   const bool status = response.result() == http::status::service_unavailable ||
                       response.result() == http::status::gateway_timeout;
@@ -74,7 +81,7 @@
       dial_timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
         // The time may run out in the very turn of the loop in which the attempt is given up.
         if (!stopped && self->dialing_ && !self->closed_)
-          self->Finish(Result::kUnreachable, {}, /*reuse=*/false);
+          self->Fail(Result::kUnreachable, Trouble::kSlowDial);
       });
     }
     dialing_ = true;
@@ -120,6 +127,7 @@
 
  private:
   void FailLater() {
+    pool_.Note(Trouble::kRefusedDial, server_->info.id);
     asio::post(pool_.io_, [self = shared_from_this()] {
       if (!self->closed_) self->Finish(Result::kUnreachable, {}, /*reuse=*/false);
     });
@@ -131,7 +139,8 @@
     dial_timer_.cancel();
     // A look at the list after the wait: guards against sending to a server that has meanwhile been told to
     // drain, is gone, or has restarted and is cold. Nothing is written, so it never ran.
-    if (error || !Current()) return Finish(Result::kUnreachable, {}, /*reuse=*/false);
+    if (error) return Fail(Result::kUnreachable, Trouble::kRefusedDial);
+    if (!Current()) return Fail(Result::kUnreachable, Trouble::kStaleDial);
     Read();
     Write();
   }
@@ -151,8 +160,8 @@
     if (closed_) return;
     whole_ = !error;
     // An unfinished request is one that no server begins.
-    if (error) return Finish(Result::kUnreachable, {}, /*reuse=*/false);
-    if (broken_) Finish(Result::kReset, {}, /*reuse=*/false);
+    if (error) return Fail(Result::kUnreachable, Trouble::kCutRequest);
+    if (broken_) Fail(Result::kReset, Reset());
   }
 
   // Stays posted while the connection lives, so that a peer's close is seen when it comes.
@@ -169,9 +178,9 @@
     if (!job_) return Close();  // nobody asked
     // Nothing that comes before the request has been written whole can be its answer. Closing ends the
     // request half-written, and no server begins such a one.
-    if (writing_) return Finish(Result::kUnreachable, {}, /*reuse=*/false);
+    if (writing_) return Fail(Result::kUnreachable, Trouble::kEarlyAnswer);
     // A spoilt answer is like none: the request may have run, and its answer is lost.
-    if (!Parse()) return Finish(Result::kReset, {}, /*reuse=*/false);
+    if (!Parse()) return Fail(Result::kReset, Trouble::kUnreadable);
     if (parser_->is_done()) return Complete();
     Read();
   }
@@ -213,7 +222,7 @@
   // The peer closed or reset the connection.
   void OnEnd() {
     if (!job_) return Close();
-    if (!writing_) return Finish(Result::kReset, {}, /*reuse=*/false);
+    if (!writing_) return Fail(Result::kReset, Reset());
     // Whether the last byte went out shows when the write ends; closing the socket ends it.
     broken_ = true;
     ErrorCode ignored;
@@ -227,6 +236,13 @@
     Finish(result, std::move(response), reuse);
   }
 
+  Trouble Reset() const { return reused_ ? Trouble::kResetReused : Trouble::kResetFresh; }
+
+  void Fail(Result result, Trouble trouble) {
+    pool_.Note(trouble, server_->info.id);
+    Finish(result, {}, /*reuse=*/false);
+  }
+
   void Finish(Result result, HttpResponse response, bool reuse) {
     const auto self = shared_from_this();
     Job job = std::move(*job_);
@@ -235,6 +251,7 @@
     parser_.reset();
     pool_.attempts_.erase(job.id);
     if (reuse) {
+      reused_ = true;
       Read();
       pool_.Release(self);
     } else {
@@ -257,6 +274,7 @@
   Charge charge_;    // for the answer that is being read
   int interim_ = 0;  // 1xx answers to this request
   bool dialing_ = false;
+  bool reused_ = false;  // it has served a request before
   bool writing_ = false;
   bool whole_ = false;   // the request's last byte has been written
   bool broken_ = false;  // the peer ended while it was being written
@@ -264,7 +282,7 @@
 };
 
 Upstream::Upstream(asio::io_context& io, Limits limits, Budget& budget)
-    : io_(io), limits_(limits), budget_(budget), sweep_(io) {}
+    : io_(io), limits_(limits), budget_(budget), sweep_(io), log_(io) {}
 
 Upstream::~Upstream() {
   for (const auto& [id, connection] : attempts_)
@@ -304,8 +322,12 @@
 }
 
 Upstream::AttemptId Upstream::Send(const std::string& id, HttpRequest request, Done done) {
+  ++sent_;
   const auto found = servers_.find(id);
-  if (found == servers_.end() || !found->second->Up()) return FailLater(std::move(done));
+  if (found == servers_.end() || !found->second->Up()) {
+    Note(Trouble::kNotListed, id);
+    return FailLater(std::move(done));
+  }
   const std::shared_ptr<Server> server = found->second;
   ConnectionPtr connection = TakeIdle(*server);
   const AttemptId attempt = ++last_attempt_;
@@ -314,9 +336,13 @@
     connection->Start({attempt, std::move(done)}, std::move(request));
     return attempt;
   }
-  if (open_ >= limits_.connections && !MakeRoom()) return FailLater(std::move(done));
+  if (open_ >= limits_.connections && !MakeRoom()) {
+    Note(Trouble::kNoRoom, id);
+    return FailLater(std::move(done));
+  }
   connection = std::make_shared<Connection>(*this, server);
   ++open_;
+  ++opened_;
   attempts_[attempt] = connection;
   connection->Dial({attempt, std::move(done)}, std::move(request));
   return attempt;
@@ -405,4 +431,33 @@
   if (any) SweepLater();
 }
 
+void Upstream::Note(Trouble trouble, const std::string& server) {
+  if (troubled_.empty()) {
+    log_.expires_after(kLogEvery);
+    log_.async_wait([this](ErrorCode error) {
+      if (!error) LogTroubles();
+    });
+  }
+  ++troubles_[static_cast<std::size_t>(trouble)];
+  ++troubled_[server];
+}
+
+// One line for all that went wrong since the first trouble: which kinds, where most of it, and how much of
+// the traffic it was.
+void Upstream::LogTroubles() {
+  std::string kinds;
+  for (std::size_t i = 0; i < troubles_.size(); ++i)
+    if (troubles_[i] > 0)
+      kinds += (kinds.empty() ? "" : ", ") + std::string(kTroubles[i]) + " " + std::to_string(troubles_[i]);
+  const auto worst = std::max_element(troubled_.begin(), troubled_.end(),
+                                      [](const auto& a, const auto& b) { return a.second < b.second; });
+  std::fprintf(stderr,
+               "upstream: attempts %d, connections opened %d, open %zu; failed: %s; most at %.64s: %d of %zu "
+               "servers\n",
+               sent_, opened_, open_, kinds.c_str(), worst->first.c_str(), worst->second, troubled_.size());
+  troubles_ = {};
+  troubled_.clear();
+  sent_ = opened_ = 0;
+}
+
 }  // namespace merlinrun::net
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -3,6 +3,7 @@
 #ifndef MERLINRUN_NET_UPSTREAM_HPP_
 #define MERLINRUN_NET_UPSTREAM_HPP_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -50,6 +51,21 @@
   // Ends an attempt by closing its connection; its `done` is not called any more.
   void GiveUp(AttemptId attempt);
 
+  // Why attempts ended without an answer that could be read; counted for the log.
+  enum class Trouble {
+    kNotListed,    // the server drains or is gone
+    kNoRoom,       // every connection that may be open is at work
+    kRefusedDial,  // the server's machine said no
+    kSlowDial,     // nothing came within the dial timeout
+    kStaleDial,    // the list changed while it was dialling
+    kCutRequest,   // the connection broke before the request's last byte
+    kEarlyAnswer,  // something came before the request's last byte
+    kResetFresh,   // it broke after the request, the first on its connection
+    kResetReused,  // the same on a connection that had served before
+    kUnreadable,   // what came was no answer that the protocol knows
+    kCount
+  };
+
   bool any_server() const { return !servers_.empty(); }
   std::size_t open_connections() const { return open_; }
 
@@ -66,6 +82,8 @@
   void Forget(const Connection& connection);
   void SweepLater();
   void Sweep();
+  void Note(Trouble trouble, const std::string& server);
+  void LogTroubles();
 
   asio::io_context& io_;
   const Limits limits_;
@@ -75,6 +93,11 @@
   std::size_t open_ = 0;
   AttemptId last_attempt_ = 0;
   std::unordered_map<std::string, std::shared_ptr<Server>> servers_;
+  asio::steady_timer log_;
+  std::array<int, static_cast<std::size_t>(Trouble::kCount)> troubles_{};  // since the last line of the log
+  std::unordered_map<std::string, int> troubled_;                          // the same by server
+  int sent_ = 0;                                                           // attempts since then
+  int opened_ = 0;                                                         // connections since then
   std::unordered_map<AttemptId, ConnectionPtr> attempts_;  // null: it has failed, which is about to be told
 };
 
