Stop reusing connections that stood idle longer than the network remembers them

Cause: the pool trusted the idle time told in the settings (60 s) and reused connections up to that age. The pool now learns by octaves of idle time from when on reused connections break more often than fresh ones and opens a new one there.

Ruled out: the pool's own limit (87 open of 159 allowed), the dial timeout (none ran out), servers closing on their own (their FIN comes 1 to 25 ms after an answer and is seen before a reuse), unreadable answers (none), one bad server or zone (the resets spread evenly).

What is refused remains: the next cause.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -32,6 +32,11 @@
                                      "dial stale",      "request cut", "early answer", "reset on fresh",
                                      "reset on reused", "unreadable"};
 
+Micros Since(Clock::time_point start) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - start).count();
+}
+Micros Now() { return Since({}); }
+
 bool Declined(const HttpResponse& response) {
   const bool status = response.result() == http::status::service_unavailable ||
                       response.result() == http::status::gateway_timeout;
@@ -92,6 +97,7 @@
   void Start(Job job, HttpRequest request) {
     job_.emplace(std::move(job));
     request_ = std::move(request);
+    idled_ = std::max<Micros>(Since(idle_since), 1);
     Write();
   }
 
@@ -150,6 +156,7 @@
     writing_ = true;
     whole_ = false;
     interim_ = 0;
+    answering_ = false;
     http::async_write(socket_, request_,
                       [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
   }
@@ -160,8 +167,11 @@
     if (closed_) return;
     whole_ = !error;
     // An unfinished request is one that no server begins.
-    if (error) return Fail(Result::kUnreachable, Trouble::kCutRequest);
-    if (broken_) Fail(Result::kReset, Reset());
+    if (error) {
+      CountLost();
+      return Fail(Result::kUnreachable, Trouble::kCutRequest);
+    }
+    if (broken_) FailReset();
   }
 
   // Stays posted while the connection lives, so that a peer's close is seen when it comes.
@@ -179,6 +189,7 @@
     // Nothing that comes before the request has been written whole can be its answer. Closing ends the
     // request half-written, and no server begins such a one.
     if (writing_) return Fail(Result::kUnreachable, Trouble::kEarlyAnswer);
+    if (!std::exchange(answering_, true)) pool_.idle_limit_.Count(idled_, /*lost=*/false, Now());
     // A spoilt answer is like none: the request may have run, and its answer is lost.
     if (!Parse()) return Fail(Result::kReset, Trouble::kUnreadable);
     if (parser_->is_done()) return Complete();
@@ -222,7 +233,7 @@
   // The peer closed or reset the connection.
   void OnEnd() {
     if (!job_) return Close();
-    if (!writing_) return Fail(Result::kReset, Reset());
+    if (!writing_) return FailReset();
     // Whether the last byte went out shows when the write ends; closing the socket ends it.
     broken_ = true;
     ErrorCode ignored;
@@ -236,7 +247,14 @@
     Finish(result, std::move(response), reuse);
   }
 
-  Trouble Reset() const { return reused_ ? Trouble::kResetReused : Trouble::kResetFresh; }
+  void CountLost() {
+    if (!answering_) pool_.idle_limit_.Count(idled_, /*lost=*/true, Now());
+  }
+
+  void FailReset() {
+    CountLost();
+    Fail(Result::kReset, idled_ > 0 ? Trouble::kResetReused : Trouble::kResetFresh);
+  }
 
   void Fail(Result result, Trouble trouble) {
     pool_.Note(trouble, server_->info.id);
@@ -251,7 +269,6 @@
     parser_.reset();
     pool_.attempts_.erase(job.id);
     if (reuse) {
-      reused_ = true;
       Read();
       pool_.Release(self);
     } else {
@@ -271,10 +288,11 @@
   // Kept until its write has been told of, whatever became of the attempt: a write that is done when the
   // attempt ends is told of all the same, and Beast then looks at the request once more.
   HttpRequest request_;
-  Charge charge_;    // for the answer that is being read
-  int interim_ = 0;  // 1xx answers to this request
+  Charge charge_;           // for the answer that is being read
+  Micros idled_ = 0;        // how long it had stood idle before this request; 0 on a fresh one
+  bool answering_ = false;  // some of the answer has come
+  int interim_ = 0;         // 1xx answers to this request
   bool dialing_ = false;
-  bool reused_ = false;  // it has served a request before
   bool writing_ = false;
   bool whole_ = false;   // the request's last byte has been written
   bool broken_ = false;  // the peer ended while it was being written
@@ -376,7 +394,7 @@
     ConnectionPtr connection = *--it;
     if (connection->idle_since > rested) continue;
     it = server.idle.erase(it);
-    if (connection->Usable()) return connection;
+    if (idle_limit_.Allows(Since(connection->idle_since), Now()) && connection->Usable()) return connection;
     connection->Close();
   }
   return nullptr;
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -13,6 +13,7 @@
 
 #include "budget.hpp"
 #include "discovery.hpp"
+#include "idle.hpp"
 #include "merlinrun/balancer.hpp"
 #include "protocol.hpp"
 
@@ -88,6 +89,7 @@
   asio::io_context& io_;
   const Limits limits_;
   Budget& budget_;
+  IdleLimit idle_limit_;
   asio::steady_timer sweep_;
   bool sweeping_ = false;
   std::size_t open_ = 0;
--- /dev/null
+++ b/tests/net/idle_test.cpp
@@ -0,0 +1,48 @@
+// How long an idle connection is trusted.
+#include "net/idle.hpp"
+
+#include <gtest/gtest.h>
+
+namespace merlinrun::net {
+namespace {
+
+constexpr Micros kMs = 1000;
+constexpr Micros kSecond = 1000 * kMs;
+
+TEST(IdleLimit, AllowsAllUntilRequestsAreLost) {
+  IdleLimit limit;
+  for (int i = 0; i < 1000; ++i) limit.Count(40 * kSecond, /*lost=*/false, i);
+  EXPECT_TRUE(limit.Allows(40 * kSecond, 1000));
+}
+
+TEST(IdleLimit, FindsTheIdleTimeFromWhichOnRequestsAreLost) {
+  IdleLimit limit;
+  for (int i = 0; i < 400; ++i) {
+    limit.Count(30 * kMs, /*lost=*/false, i);
+    limit.Count(60 * kMs, /*lost=*/false, i);
+    limit.Count(300 * kMs, /*lost=*/i % 3 == 0, i);
+  }
+  EXPECT_FALSE(limit.Allows(300 * kMs, 400));
+  EXPECT_TRUE(limit.Allows(60 * kMs, 400));
+}
+
+TEST(IdleLimit, IsNotMovedByLossesThatFreshConnectionsHaveToo) {
+  IdleLimit limit;
+  for (int i = 0; i < 400; ++i) {
+    limit.Count(0, /*lost=*/i % 3 == 0, i);
+    limit.Count(300 * kMs, /*lost=*/i % 3 == 0, i);
+  }
+  EXPECT_TRUE(limit.Allows(300 * kMs, 400));
+}
+
+TEST(IdleLimit, IsTriedAgainAfterAWhile) {
+  IdleLimit limit;
+  for (int i = 0; i < 100; ++i) limit.Count(300 * kMs, /*lost=*/true, 0);
+  EXPECT_FALSE(limit.Allows(300 * kMs, 59 * kSecond));
+  EXPECT_TRUE(limit.Allows(300 * kMs, 61 * kSecond));
+  limit.Count(300 * kMs, /*lost=*/false, 61 * kSecond);
+  EXPECT_TRUE(limit.Allows(300 * kMs, 62 * kSecond));
+}
+
+}  // namespace
+}  // namespace merlinrun::net
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -101,6 +101,23 @@
   EXPECT_EQ(TryReply("HTTP/1.1 200 OK\r\nContent-Le", /*close=*/true), Result::kReset);
 }
 
+// What lies between may forget an idle connection and reset the next request on it.
+TEST_F(UpstreamTest, ConnectionsThatAreResetWhenUsedAgainAreNoLongerUsedAgain) {
+  ScriptedServer server(io, [](Peer& peer) {
+    if (peer.requests() > 1) {
+      peer.Reset();
+    } else {
+      peer.Write(Reply("200 OK", "hello"));
+    }
+  });
+  Tell(server.address);
+  int lost = 0;
+  for (int i = 0; i < 60; ++i) lost += Try() == Result::kReset ? 1 : 0;
+  EXPECT_GT(lost, 0);
+  for (int i = 0; i < 40; ++i) EXPECT_EQ(Try(), Result::kSuccess);
+  EXPECT_EQ(upstream().open_connections(), 1U);
+}
+
 TEST_F(UpstreamTest, ARefusedConnectionNeverRan) {
   ScriptedServer server(io);
   server.StopListening();
