--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstdio>
 #include <deque>
 #include <map>
 #include <unordered_map>
@@ -203,7 +204,9 @@
                 ClassOf(held).deadline - in.budget >= ClassOf(held).aim;
     CountArrival(held, in.cost);
     if (ClassOf(held).sequential && !in.key.empty()) lines_[held.key = in.key].push_back(it->first);
-    if (!LetIn(held)) return End(it);
+    const bool let_in = LetIn(held);
+    LogAdmission(held, let_in);
+    if (!let_in) return End(it);
     SendOrWait(it);
   }
 
@@ -315,6 +318,22 @@
     return pools_[0].ring.empty() && pools_[1].ring.empty();  // a server may yet be listed while it waits
   }
 
+  // Says what is refused on arrival and why; at most once a second and nothing while all is let in.
+  void LogAdmission(const Held& held, bool let_in) {
+    ++arrived_;
+    if (!let_in) ++refused_;
+    if (refused_ == 0 || now_ < logged_at_ + kSecond) return;
+    const Pool& pool = pools_[held.pool];
+    char text[200];
+    std::snprintf(text, sizeof text,
+                  "admission: %d of %d requests refused; admit %.2f, room %.2f; pressure %.2f aims, "
+                  "least %.2f, target %.2f; %d out at %zu servers",
+                  std::exchange(refused_, 0), std::exchange(arrived_, 0), pool.admit, Room(pool), pool.usual,
+                  pool.unloaded, std::max(Target(pool), LeastTarget(pool)), pool.out, pool.ring.size());
+    logged_at_ = now_;
+    sink_.Log(text);
+  }
+
   // What was fit for all of them is too much for those that are left, and they choke before it shows; what
   // comes is given back. Guards against half of the servers going at once. Squared: what good answers have
   // saved makes up for one server of eight, so that one that is replaced refuses nobody, and not for half of
@@ -703,6 +722,9 @@
   double mean_worth_ = 0;        // of an arriving request
   bool hinted_ = false;          // requests carry their expected work
   std::int64_t served_ = 0;      // attempts that succeeded
+  int arrived_ = 0;              // requests since the last line of the log ...
+  int refused_ = 0;              // ... and what of them was refused on arrival
+  Micros logged_at_ = 0;
   int asks_failed_ = 0;
   bool ask_pending_ = false;
 };
