--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -39,6 +39,30 @@
 constexpr Micros kMostDrain = 3200 * kMs;
 constexpr Micros kLastWords = 100 * kMs;  // for the answers given at that moment to be read
 constexpr Micros kDrainPoll = 20 * kMs;
+// The log says at most once in so long which answers were no success, and nothing while all are.
+constexpr auto kLogEvery = std::chrono::seconds(1);
+
+const char* FailedAfter(Result last) {
+  switch (last) {
+    case Result::kSuccess:
+      return "failed after an answer";
+    case Result::kError:
+      return "failed after an error";
+    case Result::kRefused:
+      return "failed after a refusal";
+    case Result::kTimeout:
+      return "failed after a timeout";
+    case Result::kUnreachable:
+      return "failed after no connection";
+    case Result::kReset:
+      return "failed after a reset";
+    case Result::kCancelled:
+      return "failed after a cancel";
+    case Result::kNeverSent:
+      return "failed unsent";
+  }
+  return "failed";
+}
 
 std::string Seconds(Micros time) {
   char text[32];
@@ -104,7 +128,8 @@
                     OnList(list.whole ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
                   },
                   [this] { OnDiscoveryFailed(); }}),
-      drain_timer_(io) {
+      drain_timer_(io),
+      log_timer_(io) {
   std::string error;
   balancer_ = Balancer::Create(config_.wire.settings, config_.seed, Now(), *this, error);
   if (balancer_ == nullptr) throw ConfigError("settings: " + error);
@@ -176,7 +201,11 @@
 void Sidecar::OnRequest(const Inbound::SessionPtr& session, HttpRequest request) {
   const std::string id(View(request[kIdHeader]));
   const int request_class = ClassIndex(View(request[kClassHeader]));
-  if (const auto fault = Check(request, request_class)) return Inbound::Reject(session, *fault);
+  ++requests_;
+  if (const auto fault = Check(request, request_class)) {
+    Note(fault->text);
+    return Inbound::Reject(session, *fault);
+  }
   const Micros now = Now();
   const Micros budget = BudgetOf(request, request_class);
 
@@ -206,6 +235,7 @@
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
   it->second.session = nullptr;
+  Note("left by the client");
   balancer_->OnClientGone(Now(), id);
   EraseIfOver(id);
 }
@@ -229,6 +259,7 @@
   if (it == calls_.end()) return;
   Attempt& ended = it->second.attempts[static_cast<std::size_t>(attempt)];
   if (!std::exchange(ended.out, false)) return;
+  ended.result = result;
   const Micros now = Now();
   Outcome outcome;
   outcome.request = id;
@@ -244,6 +275,28 @@
   Inbound::Respond(std::exchange(call.session, nullptr), std::move(response), std::move(charge));
 }
 
+void Sidecar::Note(const char* why) {
+  std::string_view text(why);
+  if (text.back() == '\n') text.remove_suffix(1);
+  ++noted_[text];
+  if (noted_.size() > 1 || noted_[text] > 1) return;
+  log_timer_.expires_after(kLogEvery);
+  log_timer_.async_wait([this](ErrorCode error) {
+    if (!error) LogAnswers();
+  });
+}
+
+void Sidecar::LogAnswers() {
+  std::string kinds;
+  for (const auto& [why, count] : noted_) {
+    kinds += kinds.empty() ? "" : ", ";
+    kinds.append(why).append(" ").append(std::to_string(count));
+  }
+  std::fprintf(stderr, "answers: requests %d, in work %zu; %s\n", std::exchange(requests_, 0), calls_.size(),
+               kinds.c_str());
+  noted_.clear();
+}
+
 // Sets the call's timer to what is due next: the end of an attempt, or the answer itself.
 void Sidecar::Watch(const std::string& id, Call& call) {
   Micros due = call.deadline;
@@ -269,6 +322,7 @@
   }
   if (now >= it->second.deadline && it->second.session != nullptr) {
     // The module ends requests before this. Guards against a client that gets no answer should it not.
+    Note("out of time");
     Answer(it->second, Plain(http::status::gateway_timeout, "out of time\n"));
     balancer_->OnClientGone(now, id);
     return EraseIfOver(id);
@@ -346,6 +400,7 @@
 void Sidecar::Refuse(std::string_view request, Micros retry_after) {
   const auto it = calls_.find(std::string(request));
   if (it == calls_.end() || it->second.session == nullptr) return;
+  Note(it->second.attempts.empty() ? "refused unsent" : "refused after attempts");
   HttpResponse response = Plain(http::status::service_unavailable, "refused\n");
   if (retry_after > 0) response.set(http::field::retry_after, Seconds(retry_after));
   Answer(it->second, std::move(response));
@@ -354,6 +409,8 @@
 void Sidecar::Fail(std::string_view request) {
   const auto it = calls_.find(std::string(request));
   if (it == calls_.end() || it->second.session == nullptr) return;
+  const auto& attempts = it->second.attempts;
+  Note(FailedAfter(attempts.empty() ? Result::kNeverSent : attempts.back().result));
   Answer(it->second, Plain(http::status::bad_gateway, "failed\n"));
 }
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -6,9 +6,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -47,6 +49,7 @@
     Micros sent = 0;
     Micros expires = 0;
     bool out = true;
+    Result result = Result::kNeverSent;  // once it is no longer out
   };
   // A request, from its arrival until it has its answer and its last attempt is resolved.
   struct Call {
@@ -77,6 +80,9 @@
   void OnAnswer(const std::string& id, int attempt, UpstreamAnswer answer);
   void Conclude(const std::string& id, int attempt, Result result);
   void Answer(Call& call, HttpResponse response, Charge charge = {});
+  // Counts a final answer that is no success, for the log. `why` must be a constant.
+  void Note(const char* why);
+  void LogAnswers();
   void Watch(const std::string& id, Call& call);
   void OnDue(const std::string& id);
   void EraseIfOver(const std::string& id);
@@ -100,6 +106,9 @@
   Calls calls_;
   std::int64_t generation_ = 0;
   asio::steady_timer drain_timer_;
+  asio::steady_timer log_timer_;
+  std::map<std::string_view, int> noted_;  // since the last line of the log, by reason
+  int requests_ = 0;                       // taken since then
   std::function<void()> finished_;
   Micros drain_end_ = 0;  // 0 while it does not drain
   bool closing_ = false;
