--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -492,7 +492,9 @@
     } else if (outcome.result == Result::kCancelled || outcome.result == Result::kNeverSent) {
       return;
     }
-    if (outcome.result == Result::kError) server.failing += (kRefusalMost - server.failing) / kErrorMemory;
+    const bool unanswered = outcome.result == Result::kTimeout || outcome.result == Result::kReset;
+    if (outcome.result == Result::kError || unanswered)
+      server.failing += (kRefusalMost - server.failing) / kErrorMemory;
     if (outcome.result == Result::kSuccess) server.failing -= server.failing / kServedMemory;
     if (outcome.result == Result::kError) return;
     server.refuses.resize(load_.size());
