Pass over servers that time out or reset requests as often as they do

Such a server is not left alone, as it serves others well meanwhile; only plain errors counted against it, so it kept half of its share and each request there failed at its aim: 20 to 60 "failed after a timeout" a second in the log.

Halved by server and by connection: the timeouts sat at the same three servers and on fresh and reused connections alike, so it is no stale connection and no one process.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -551,6 +551,8 @@
 
   // A server that answers with errors is passed over as often as it did. Guards against one that fails fast:
   // it has few attempts out and looks the least busy, so that it drew the more requests the faster it failed.
+  // The same for one that lets requests time out or resets them while it serves others well, which keeps it
+  // from being left alone.
   bool Fails(const Server& server) { return server.failing > 0 && random_.Unit() < server.failing; }
 
   // ---- The choice of a server ----
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -653,6 +653,42 @@
   EXPECT_GT(served_by_s00("d", 200), 60);
 }
 
+// Met where the network swallowed two in five requests to a third of the servers: what they did answer kept
+// them from being left alone.
+TEST_F(BalancerTest, AServerThatSwallowsAPartOfItsRequestsIsPassedOver) {
+  const auto sent_to_s00 = [&](Result sick) {
+    Start(MakeSettings(), 3);
+    LoadReport idle;
+    idle.cpu = 0.3;
+    int sent = 0;
+    int counted = 0;
+    for (int round = 0; round < 200; ++round) {
+      std::vector<std::pair<std::string, bool>> out;  // the requests of this round, and whether one is lost
+      for (int i = 0; i < 30; ++i) {
+        const std::string id = std::to_string(round) + "-" + std::to_string(i);
+        const auto actions = Arrive(id, 2);
+        if (actions[0].kind != Kind::kSend) continue;
+        const bool at_s00 = actions[0].server == "s00";
+        counted += at_s00 && round >= 100;
+        out.emplace_back(id, at_s00 && ++sent % 5 < 2);
+      }
+      now_ += 50 * kMs;
+      for (const auto& [id, lost] : out)
+        if (!lost) balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, 50 * kMs, true, idle});
+      now_ += 50 * kMs;
+      for (const auto& [id, lost] : out)
+        if (lost) balancer_->OnOutcome(now_, {id, 0, sick, 100 * kMs, sick == Result::kSuccess, idle});
+      sink_.Take();
+    }
+    return counted;
+  };
+  const int healthy = sent_to_s00(Result::kSuccess);
+  printf("%d %d %d\n", healthy, sent_to_s00(Result::kTimeout), sent_to_s00(Result::kReset));
+  EXPECT_GT(healthy, 700);  // of 3000
+  EXPECT_LT(sent_to_s00(Result::kTimeout), healthy * 6 / 10);
+  EXPECT_LT(sent_to_s00(Result::kReset), healthy * 6 / 10);
+}
+
 // Met at 300 requests a second: answers at a quarter of the aim, as busy servers give all day, made a sidecar
 // refuse a tenth of the cheap work. One with many attempts out sees an overload soon enough without that.
 TEST_F(BalancerTest, ABusySidecarLetsInWhatAQuietOneSheds) {
