--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -683,7 +683,6 @@
     return counted;
   };
   const int healthy = sent_to_s00(Result::kSuccess);
-  printf("%d %d %d\n", healthy, sent_to_s00(Result::kTimeout), sent_to_s00(Result::kReset));
   EXPECT_GT(healthy, 700);  // of 3000
   EXPECT_LT(sent_to_s00(Result::kTimeout), healthy * 6 / 10);
   EXPECT_LT(sent_to_s00(Result::kReset), healthy * 6 / 10);
