Count what a server fails by class, so that one healthy class hides no other

One average over both stayed low, so they were passed over too seldom: 50 to 80 "failed after an error" a second in the log, and the answers counted by server and method showed 521 of 523 errors on POST at those five.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -493,9 +493,10 @@
       return;
     }
     const bool unanswered = outcome.result == Result::kTimeout || outcome.result == Result::kReset;
-    if (outcome.result == Result::kError || unanswered)
-      server.failing += (kRefusalMost - server.failing) / kErrorMemory;
-    if (outcome.result == Result::kSuccess) server.failing -= server.failing / kServedMemory;
+    server.failing.resize(load_.size());
+    double& failing = server.failing[held.request_class];
+    if (outcome.result == Result::kError || unanswered) failing += (kRefusalMost - failing) / kErrorMemory;
+    if (outcome.result == Result::kSuccess) failing -= failing / kServedMemory;
     if (outcome.result == Result::kError) return;
     server.refuses.resize(load_.size());
     double& refuses = server.refuses[held.request_class];
@@ -553,10 +554,10 @@
   // it has few attempts out and looks the least busy, so that it drew the more requests the faster it failed.
   // The same for one that lets requests time out or resets them while it serves others well, which keeps it
   // from being left alone.
-  // Twice as often: either of the two draws may hit it, and it wins each comparison with so few attempts out,
-  // so that three of nine that failed two thirds of their requests still drew a quarter of all.
-  bool Fails(const Server& server) {
-    return server.failing > 0 && random_.Unit() < std::min(2 * server.failing, kRefusalMost);
+  // By class: servers that fail one kind of request alone serve the others well, and that hid it.
+  bool Fails(const Held& held, const Server& server) {
+    const double share = server.failing.empty() ? 0 : server.failing[held.request_class];
+    return share > 0 && random_.Unit() < share;
   }
 
   // ---- The choice of a server ----
@@ -581,7 +582,7 @@
     int found = 0;
     for (int draw = 0; draw < kDraws && found < 2; ++draw) {
       Server& server = pool.InWindow(random_.Below(width));
-      if (Away(server) || Refuses(held, server) || Fails(server) || !MayUse(held, server) ||
+      if (Away(server) || Refuses(held, server) || Fails(held, server) || !MayUse(held, server) ||
           !AcceptYoung(server))
         continue;
       ++found;
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -18,7 +18,7 @@
   int out = 0;                   // own attempts in flight
   double slow = 1;               // its answer times as a multiple of what is usual for their class
   std::vector<double> refuses;   // by class: share of its requests that were turned away lately
-  double failing = 0;            // share of its requests that ended in an error lately
+  std::vector<double> failing;   // by class: share of its requests that were lost to errors or silence lately
   bool busy = true;              // its cores are, by its last report; true until it reports
   int strikes = 0;               // bad outcomes in a row
   Micros heard_at = 0;           // its last answer, or when it got work after it had none
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -653,6 +653,29 @@
   EXPECT_GT(served_by_s00("d", 200), 60);
 }
 
+// Met after a release: five of nine servers failed one class alone, and served enough of the other to look
+// well.
+TEST_F(BalancerTest, AServerThatFailsOneClassIsPassedOverForThatClassAlone) {
+  Start(MakeSettings(), 3);
+  const auto sent_to_s00 = [&](int request_class, const std::string& round) {
+    int n = 0;
+    for (int i = 0; i < 600; ++i) {
+      const std::string id = round + std::to_string(i);
+      const int own = i % 4 == 0 ? request_class : 2 - request_class;
+      const auto actions = Arrive(id, own);
+      if (actions[0].kind != Kind::kSend) continue;
+      const bool at_s00 = actions[0].server == "s00";
+      n += at_s00 && own == request_class && i >= 200;
+      const bool error = at_s00 && own == 2;
+      balancer_->OnOutcome(now_, {id, 0, error ? Result::kError : Result::kSuccess, 50 * kMs, !error, {}});
+      sink_.Take();
+    }
+    return n;
+  };
+  EXPECT_LT(sent_to_s00(2, "a"), 16);  // of 100, a third of which are its own share
+  EXPECT_GT(sent_to_s00(0, "b"), 20);
+}
+
 // Met where the network swallowed two in five requests to a third of the servers: what they did answer kept
 // them from being left alone.
 TEST_F(BalancerTest, AServerThatSwallowsAPartOfItsRequestsIsPassedOver) {
