--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,8 +1,7 @@
-// Every decision of merlinrun. Interface: include/merlinrun/balancer.hpp. Why
-// it is so: docs/design.md.
+// Every decision of merlinrun. Interface: include/merlinrun/balancer.hpp. Why it is so: docs/design.md.
 //
-// Order of this file: tunables, state, the list of servers and the window, a
-// request's life (arrival, choice of a server, outcome, wait, end), discovery.
+// Order of this file: tunables, state, the list of servers and the window, a request's life (arrival, choice
+// of a server, outcome, wait, end), discovery.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -21,11 +20,10 @@
 constexpr Micros kMillisecond = 1000;
 constexpr Micros kSecond = 1000 * kMillisecond;
 
-// Servers in the window. Few enough that each server holds connections from few
-// sidecars, enough to leave a choice.
+// Servers in the window. Few enough that each server holds connections from few sidecars, enough to leave a
+// choice.
 constexpr std::size_t kWindowWidth = 3;
-// A busy sidecar's window is wider: this many servers for each attempt it
-// lately had out at once.
+// A busy sidecar's window is wider: this many servers for each attempt it lately had out at once.
 constexpr double kServersPerOut = 0.25;
 // The same where open connections cost nothing. 0.25 to 2 were tried.
 constexpr double kServersPerOutFree = 1;
@@ -34,284 +32,225 @@
 constexpr Micros kRetryCap = 30 * kSecond;
 // The design's stop; the deployment may set a lower limit.
 constexpr int kMaxAttempts = 5;
-// Draws from the window before it is searched from end to end: bounds the work
-// of an ordinary choice.
+// Draws from the window before it is searched from end to end: bounds the work of an ordinary choice.
 constexpr int kDraws = 8;
-// Overload. Each outcome moves the share of the work that is let in by
-// kAdmitStep for each whole aim that the answer came before or after its
-// target. kAdmitTarget, in aims, is the target for the dearest work: far under
-// one, as servers choke on their queues before answers come late.
+// Overload. Each outcome moves the share of the work that is let in by kAdmitStep for each whole aim that the
+// answer came before or after its target. kAdmitTarget, in aims, is the target for the dearest work: far
+// under one, as servers choke on their queues before answers come late.
 constexpr double kAdmitTarget = 0.27;
-// The same where servers report their load. By figures, not by reasoning: of
-// all settings only this one told the deployments apart that lose by shedding
-// early from those whose servers choke. 0.27 to 0.7 were tried.
+// The same where servers report their load. By figures, not by reasoning: of all settings only this one told
+// the deployments apart that lose by shedding early from those whose servers choke. 0.27 to 0.7 were tried.
 constexpr double kAdmitTargetReported = 0.45;
-// There it also stays within this much of what idle servers take: on servers of
-// many cores, idle ones take little and a queue shows early. 0.2 and 0.25 were
-// tried.
+// There it also stays within this much of what idle servers take: on servers of many cores, idle ones take
+// little and a queue shows early. 0.2 and 0.25 were tried.
 constexpr double kRoom = 0.22;
 constexpr double kAdmitStep = 0.2;
-// A server whose last report told of less core use than this is not overloaded,
-// however late it answers. On the standard days, where nearly all servers are
-// busy, 0.4 to 0.8 came out alike within noise.
+// A server whose last report told of less core use than this is not overloaded, however late it answers. On
+// the standard days, where nearly all servers are busy, 0.4 to 0.8 came out alike within noise.
 constexpr double kCoresBusy = 0.8;
-// With more attempts out than this each outcome counts less, so that as much is
-// learnt in the time of one answer as by others: else hundreds of outcomes a
-// second swing the share from end to end before servers can show it.
+// With more attempts out than this each outcome counts less, so that as much is learnt in the time of one
+// answer as by others: else hundreds of outcomes a second swing the share from end to end before servers can
+// show it.
 constexpr double kSteadyOut = 24;
 // An attempt that was turned away or timed out counts as this many aims.
 constexpr double kAdmitWorst = 1.5;
-// The n-th late outcome in a row counts n times, to this many: one is a dear
-// request or one server's trouble, several are an overload that all share, and
-// servers are overdriven within seconds.
+// The n-th late outcome in a row counts n times, to this many: one is a dear request or one server's trouble,
+// several are an overload that all share, and servers are overdriven within seconds.
 constexpr double kLatesMost = 4;
-// The target stays this far above the least pressure that was usual, averaged
-// over kUsualMemory answers: guards against refusing cheap work all day where
-// even idle servers take a good part of the aim.
+// The target stays this far above the least pressure that was usual, averaged over kUsualMemory answers:
+// guards against refusing cheap work all day where even idle servers take a good part of the aim.
 constexpr double kHeadroom = 1.6;
-// The same, and the target for the dearest work, for a sidecar with many
-// attempts out, between kBusyFrom and kBusyFull of them. It hears of an
-// overload within a fraction of a second where others wait seconds for the next
-// answer, so it need not shed ahead of one: at 300 requests a second and a
-// usual 0.25 aims it refused a tenth of the cheap work all day. From 4, 20 and
-// 32 were tried: the sooner, the more big fleets choke. A headroom of 2.4 to
-// 0.45 aims let servers choke when half of them were drained at once.
+// The same, and the target for the dearest work, for a sidecar with many attempts out, between kBusyFrom and
+// kBusyFull of them. It hears of an overload within a fraction of a second where others wait seconds for the
+// next answer, so it need not shed ahead of one: at 300 requests a second and a usual 0.25 aims it refused a
+// tenth of the cheap work all day. From 4, 20 and 32 were tried: the sooner, the more big fleets choke. A
+// headroom of 2.4 to 0.45 aims let servers choke when half of them were drained at once.
 constexpr double kHeadroomBusy = 2.0;
 constexpr double kAdmitTargetBusy = 0.34;
 constexpr double kBusyFrom = 32;
 constexpr double kBusyFull = 48;
 constexpr double kUsualMemory = 30;
-// A sidecar that usually has kSteadyOut attempts out or more has a concurrency
-// limit besides: from kOutFrom times the attempts that it usually has out at
-// each server less is let in, down to the least at kOutFull. Twice the square
-// root of what is usual, for those that have just enough, is chance and no
-// pressure: 1.4.
+// A sidecar that usually has kSteadyOut attempts out or more has a concurrency limit besides: from kOutFrom
+// times the attempts that it usually has out at each server less is let in, down to the least at kOutFull.
+// Twice the square root of what is usual, for those that have just enough, is chance and no pressure: 1.4.
 constexpr double kOutFrom = 1.4;
 constexpr double kOutFull = 2.0;
-// Answers over which it learns what is usual, and how many it takes to begin.
-// Over 1,000 an overload of ten seconds, in which admission goes up and down,
-// taught it a third more.
+// Answers over which it learns what is usual, and how many it takes to begin. Over 1,000 an overload of ten
+// seconds, in which admission goes up and down, taught it a third more.
 constexpr double kOutMemory = 5000;
 constexpr double kOutLearnt = 500;
-// One good answer recovers no more than it would at this level: servers that
-// choked recover only if they are left alone for seconds, and a lucky answer
-// must not end that. 0.15 and 0.3 were tried.
+// One good answer recovers no more than it would at this level: servers that choked recover only if they are
+// left alone for seconds, and a lucky answer must not end that. 0.15 and 0.3 were tried.
 constexpr double kRecoverAt = 0.15;
-// Never shut out everything: what is let in is the only way to see the end of
-// an overload.
+// Never shut out everything: what is let in is the only way to see the end of an overload.
 constexpr double kAdmitLeast = 0.05;
-// Good answers save up to this level, so that one bad answer by chance refuses
-// nobody.
+// Good answers save up to this level, so that one bad answer by chance refuses nobody.
 constexpr double kAdmitMost = 1.5;
-// Arrivals over which the mix of classes is remembered, and answers over which
-// a class's usual time is.
+// Arrivals over which the mix of classes is remembered, and answers over which a class's usual time is.
 constexpr double kMixMemory = 100;
-// Answers over which a server's slowness is remembered, and the most that one
-// answer may say of it.
+// Answers over which a server's slowness is remembered, and the most that one answer may say of it.
 constexpr double kSlowMemory = 8;
-// The same for a sidecar with kSteadyOut attempts out or more, whose servers
-// answer many times in a second: over 8 answers healthy ones came out between
-// 0.4 and 2, by chance, and got their work in these proportions.
+// The same for a sidecar with kSteadyOut attempts out or more, whose servers answer many times in a second:
+// over 8 answers healthy ones came out between 0.4 and 2, by chance, and got their work in these proportions.
 constexpr double kSlowMemoryBusy = 32;
 constexpr double kSlowMost = 4;
-// A server's answers come about as far apart as the usual time of one over the
-// attempts that it has out. By chance a gap of four times that comes once in
-// fifty.
+// A server's answers come about as far apart as the usual time of one over the attempts that it has out. By
+// chance a gap of four times that comes once in fifty.
 constexpr double kSilence = 4;
-// A server that fails to connect, resets, times out or lets a request outlive
-// its aim is left alone for random(0, min(kRetryCap, base * 2^n)), n being such
-// events in a row: the request's own wait, applied to a server.
+// A server that fails to connect, resets, times out or lets a request outlive its aim is left alone for
+// random(0, min(kRetryCap, base * 2^n)), n being such events in a row: the request's own wait, applied to a
+// server.
 constexpr Micros kServerBase = 500 * kMillisecond;
 // From this share on a class counts as turned away by a server.
 constexpr double kRefusesSome = 0.1;
-// Answers over which a server's turning away of a class is remembered: quick to
-// believe, slow to forget. It is never quite believed, so that an attempt now
-// and then finds the end of it.
+// Answers over which a server's turning away of a class is remembered: quick to believe, slow to forget.
+// It is never quite believed, so that an attempt now and then finds the end of it.
 constexpr double kRefusalMemory = 3;
 constexpr double kServedMemory = 10;
 constexpr double kRefusalMost = 0.95;
-// The same for errors, which one answer in a thousand is anywhere: one alone
-// must not count for much.
+// The same for errors, which one answer in a thousand is anywhere: one alone must not count for much.
 constexpr double kErrorMemory = 4;
-// At most this part of the window is left alone at once: a slowdown that all
-// share must not empty it.
+// At most this part of the window is left alone at once: a slowdown that all share must not empty it.
 constexpr double kMostAway = 0.5;
-// From this price of a crossing on (share of the result) servers of other zones
-// serve only what their own zone's cannot; below it a choice from all servers
-// gains more than the crossings cost.
+// From this price of a crossing on (share of the result) servers of other zones serve only what their own
+// zone's cannot; below it a choice from all servers gains more than the crossings cost.
 constexpr double kCrossingPriced = 0.05;
-// Asking discovery again after a failure waits random(0, min(ask_within, base *
-// 2^n)).
+// Asking discovery again after a failure waits random(0, min(ask_within, base * 2^n)).
 constexpr Micros kAskBase = kSecond;
 
-// The one place that says which outcomes prove that the attempt never ran. Some
-// servers also turn away what they had begun: their refusal proves nothing.
+// The one place that says which outcomes prove that the attempt never ran. Some servers also turn away what
+// they had begun: their refusal proves nothing.
 bool ProvesNeverRan(Result result, bool refused_may_have_run) {
-  return (result == Result::kRefused && !refused_may_have_run) ||
-         result == Result::kUnreachable || result == Result::kNeverSent;
+  return (result == Result::kRefused && !refused_may_have_run) || result == Result::kUnreachable ||
+         result == Result::kNeverSent;
 }
 
 bool Answered(Result result) {
-  return result == Result::kSuccess || result == Result::kError ||
-         result == Result::kRefused;
+  return result == Result::kSuccess || result == Result::kError || result == Result::kRefused;
 }
 
 Micros Doubled(Micros base, int n, Micros cap) {
-  return std::min(
-      cap, base << std::min(n, 20)); // 20: far past any cap, short of overflow
+  return std::min(cap, base << std::min(n, 20));  // 20: far past any cap, short of overflow
 }
 
-// The window is of fixed size for all but the busiest sidecars. One that has
-// more attempts out than window servers takes a longer run of the ring, by its
-// own traffic and never by the fleet's size: else a few busy callers choke the
-// servers of their windows while others idle.
-std::size_t Width(const Pool &pool, const Settings &set) {
-  const double per_out =
-      set.price_connection > 0 ? kServersPerOut : kServersPerOutFree;
-  return std::min(
-      std::max(kWindowWidth, static_cast<std::size_t>(per_out * pool.out_peak)),
-      pool.ring.size());
+// The window is of fixed size for all but the busiest sidecars. One that has more attempts out than window
+// servers takes a longer run of the ring, by its own traffic and never by the fleet's size: else a few busy
+// callers choke the servers of their windows while others idle.
+std::size_t Width(const Pool& pool, const Settings& set) {
+  const double per_out = set.price_connection > 0 ? kServersPerOut : kServersPerOutFree;
+  return std::min(std::max(kWindowWidth, static_cast<std::size_t>(per_out * pool.out_peak)),
+                  pool.ring.size());
 }
 
-} // namespace
+}  // namespace
 
 class Balancer::State {
-public:
-  State(const Settings &settings, std::uint64_t seed, Micros now,
-        ActionSink &sink)
-      : set_(settings), sink_(sink), random_(seed), now_(now),
-        load_(settings.classes.size()) {}
+ public:
+  State(const Settings& settings, std::uint64_t seed, Micros now, ActionSink& sink)
+      : set_(settings), sink_(sink), random_(seed), now_(now), load_(settings.classes.size()) {}
 
   void Advance(Micros now) { now_ = std::max(now_, now); }
 
   // ---- The list of servers and the window on its ring ----
 
-  void OnServers(const ListUpdate &update) {
+  void OnServers(const ListUpdate& update) {
     if (update.kind == ListUpdate::Kind::kFailed) {
       AskLater(Doubled(kAskBase, asks_failed_++, set_.ask_within));
       return;
     }
     if (update.kind == ListUpdate::Kind::kStale) {
-      AskLater(set_.ask_within / 2); // a fresh start: spread, as all sidecars
-                                     // may have started together
+      AskLater(set_.ask_within / 2);  // a fresh start: spread, as all sidecars may have started together
     } else {
       asks_failed_ = 0;
     }
-    const std::array<std::size_t, 2> before = {pools_[0].ring.size(),
-                                               pools_[1].ring.size()};
+    const std::array<std::size_t, 2> before = {pools_[0].ring.size(), pools_[1].ring.size()};
     if (update.kind != ListUpdate::Kind::kDelta)
-      for (auto &[id, server] : servers_)
-        server.listed = false;
-    for (const ServerInfo &info : update.servers) {
-      Server &server = servers_[info.id];
-      if (info.started != server.info.started) { // new here, or its process is:
-                                                 // chance decides who starts it
+      for (auto& [id, server] : servers_) server.listed = false;
+    for (const ServerInfo& info : update.servers) {
+      Server& server = servers_[info.id];
+      if (info.started != server.info.started) {  // new here, or its process is: chance decides who starts it
         server.young_credit = random_.Unit();
         server.served_then = served_;
       }
       server.info = info;
-      server.pool =
-          set_.price_crossing >= kCrossingPriced && info.zone != set_.zone ? 1
-                                                                           : 0;
+      server.pool = set_.price_crossing >= kCrossingPriced && info.zone != set_.zone ? 1 : 0;
       server.listed = info.state != ServerInfo::State::kGone;
     }
-    for (Pool &pool : pools_)
-      pool.ring.clear();
+    for (Pool& pool : pools_) pool.ring.clear();
     for (auto it = servers_.begin(); it != servers_.end();) {
-      Server &server = it->second;
+      Server& server = it->second;
       if (server.listed && server.info.state == ServerInfo::State::kHealthy)
         pools_[server.pool].ring.push_back(&server);
       it = server.listed || server.out > 0 ? std::next(it) : servers_.erase(it);
     }
-    for (std::size_t i = 0; i < pools_.size(); ++i)
-      Rescale(pools_[i], before[i]);
-    // Ranks are spread evenly over the ring; a server that comes or goes shifts
-    // each window by one at most.
-    for (Pool &pool : pools_)
+    for (std::size_t i = 0; i < pools_.size(); ++i) Rescale(pools_[i], before[i]);
+    // Ranks are spread evenly over the ring; a server that comes or goes shifts each window by one at most.
+    for (Pool& pool : pools_)
       pool.offset =
-          static_cast<std::size_t>(static_cast<std::uint64_t>(set_.rank) *
-                                   pool.ring.size() / set_.siblings);
+          static_cast<std::size_t>(static_cast<std::uint64_t>(set_.rank) * pool.ring.size() / set_.siblings);
   }
 
   // ---- A request's life ----
 
-  void OnRequest(const Request &in) {
-    if (in.request_class < 0 ||
-        static_cast<std::size_t>(in.request_class) >= load_.size())
+  void OnRequest(const Request& in) {
+    if (in.request_class < 0 || static_cast<std::size_t>(in.request_class) >= load_.size())
       return sink_.Fail(in.id);
     auto [it, fresh] = held_.try_emplace(std::string(in.id));
-    if (!fresh)
-      return;
-    Held &held = it->second;
+    if (!fresh) return;
+    Held& held = it->second;
     held.request_class = static_cast<std::size_t>(in.request_class);
     held.arrived = now_;
     held.deadline = now_ + in.budget;
-    ClassLoad &load = load_[held.request_class];
+    ClassLoad& load = load_[held.request_class];
     load.longest_budget = std::max(load.longest_budget, in.budget);
     held.late = in.budget < load.longest_budget - set_.tick &&
                 ClassOf(held).deadline - in.budget >= ClassOf(held).aim;
     CountArrival(held, in.cost);
-    if (ClassOf(held).sequential && !in.key.empty())
-      lines_[held.key = in.key].push_back(it->first);
+    if (ClassOf(held).sequential && !in.key.empty()) lines_[held.key = in.key].push_back(it->first);
     const bool let_in = LetIn(held);
     LogAdmission(held, let_in);
-    if (!let_in)
-      return End(it);
+    if (!let_in) return End(it);
     SendOrWait(it);
   }
 
-  void OnOutcome(const Outcome &outcome) {
+  void OnOutcome(const Outcome& outcome) {
     auto it = held_.find(std::string(outcome.request));
-    if (it == held_.end())
-      return;
-    Held &held = it->second;
-    if (outcome.attempt < 0 ||
-        static_cast<std::size_t>(outcome.attempt) >= held.attempts.size())
-      return;
-    Attempt &attempt = held.attempts[static_cast<std::size_t>(outcome.attempt)];
-    if (!attempt.out)
-      return;
+    if (it == held_.end()) return;
+    Held& held = it->second;
+    if (outcome.attempt < 0 || static_cast<std::size_t>(outcome.attempt) >= held.attempts.size()) return;
+    Attempt& attempt = held.attempts[static_cast<std::size_t>(outcome.attempt)];
+    if (!attempt.out) return;
     attempt.out = false;
-    attempt.may_have_run =
-        !ProvesNeverRan(outcome.result, set_.refused_may_have_run);
+    attempt.may_have_run = !ProvesNeverRan(outcome.result, set_.refused_may_have_run);
     --attempt.server->out;
     --pools_[attempt.server->pool].out;
-    if (outcome.result == Result::kSuccess)
-      ++served_;
-    if (Answered(outcome.result))
-      attempt.server->heard_at = now_;
-    if (outcome.load.cpu)
-      attempt.server->busy = *outcome.load.cpu >= kCoresBusy;
+    if (outcome.result == Result::kSuccess) ++served_;
+    if (Answered(outcome.result)) attempt.server->heard_at = now_;
+    if (outcome.load.cpu) attempt.server->busy = *outcome.load.cpu >= kCoresBusy;
     Judge(held, *attempt.server, attempt.sent, outcome);
-    if (!attempt.felt)
-      Feel(held, *attempt.server, outcome);
-    if (outcome.result == Result::kTimeout ||
-        outcome.result == Result::kReset ||
+    if (!attempt.felt) Feel(held, *attempt.server, outcome);
+    if (outcome.result == Result::kTimeout || outcome.result == Result::kReset ||
         outcome.result == Result::kCancelled)
       held.settled_at = now_ + set_.settle_after_doubt;
-    if (outcome.settled)
-      held.ended = true;
-    if (held.ended || held.AnyOut())
-      return Release(it);
+    if (outcome.settled) held.ended = true;
+    if (held.ended || held.AnyOut()) return Release(it);
     switch (outcome.result) {
-    case Result::kRefused:
-    case Result::kUnreachable:
-    case Result::kReset:
-      return Wait(it);
-    case Result::kSuccess: // unsettled: not legal, and an end is owed all the
-                           // same
-    case Result::kError:
-    case Result::kTimeout:
-    case Result::kCancelled:
-    case Result::kNeverSent:
-      return End(it);
+      case Result::kRefused:
+      case Result::kUnreachable:
+      case Result::kReset:
+        return Wait(it);
+      case Result::kSuccess:  // unsettled: not legal, and an end is owed all the same
+      case Result::kError:
+      case Result::kTimeout:
+      case Result::kCancelled:
+      case Result::kNeverSent:
+        return End(it);
     }
   }
 
   void OnClientGone(std::string_view request) {
     auto it = held_.find(std::string(request));
-    if (it == held_.end())
-      return;
+    if (it == held_.end()) return;
     it->second.ended = true;
     Release(it);
   }
@@ -323,214 +262,156 @@
       return;
     }
     auto timer = timers_.find(token);
-    if (timer == timers_.end())
-      return;
+    if (timer == timers_.end()) return;
     auto it = held_.find(timer->second);
     timers_.erase(timer);
-    if (it == held_.end() || it->second.timer != token)
-      return;
-    if (it->second.ended)
-      return Release(it);
-    if (it->second.AnyOut())
-      return FeelLate(it->second);
-    if (!HasTurn(it))
-      return End(it); // it has waited for its turn as long as its client waits
+    if (it == held_.end() || it->second.timer != token) return;
+    if (it->second.ended) return Release(it);
+    if (it->second.AnyOut()) return FeelLate(it->second);
+    if (!HasTurn(it)) return End(it);  // it has waited for its turn as long as its client waits
     SendOrWait(it);
   }
 
   std::size_t size() const { return held_.size(); }
 
-private:
+ private:
   using HeldIt = std::unordered_map<std::string, Held>::iterator;
   static constexpr std::uint64_t kAskToken = 0;
 
-  const RequestClass &ClassOf(const Held &held) const {
-    return set_.classes[held.request_class];
-  }
+  const RequestClass& ClassOf(const Held& held) const { return set_.classes[held.request_class]; }
 
-  // Requests with one key go in order of arrival: only the first in line may be
-  // sent.
+  // Requests with one key go in order of arrival: only the first in line may be sent.
   bool HasTurn(HeldIt it) const {
-    return it->second.key.empty() ||
-           lines_.at(it->second.key).front() == it->first;
+    return it->second.key.empty() || lines_.at(it->second.key).front() == it->first;
   }
 
   void SendOrWait(HeldIt it) {
-    Held &held = it->second;
-    held.timer = 0; // a turn may come before the alarm that was set for its
-                    // failing to come
-    if (!HasTurn(it))
-      return Alarm(it,
-                   std::max<Micros>(held.deadline - now_ - 2 * set_.tick, 0));
-    Server *server = held.deadline > now_ ? Choose(held) : nullptr;
-    if (server == nullptr)
-      return Wait(it);
-    if (server->out++ == 0)
-      server->heard_at = now_;
-    Pool &pool = pools_[server->pool];
-    pool.out_peak = std::max(static_cast<double>(++pool.out),
-                             pool.out_peak * (1 - 1 / kMixMemory));
-    held.attempts.push_back(
-        {server, server->info.zone, server->info.cell, now_});
+    Held& held = it->second;
+    held.timer = 0;  // a turn may come before the alarm that was set for its failing to come
+    if (!HasTurn(it)) return Alarm(it, std::max<Micros>(held.deadline - now_ - 2 * set_.tick, 0));
+    Server* server = held.deadline > now_ ? Choose(held) : nullptr;
+    if (server == nullptr) return Wait(it);
+    if (server->out++ == 0) server->heard_at = now_;
+    Pool& pool = pools_[server->pool];
+    pool.out_peak = std::max(static_cast<double>(++pool.out), pool.out_peak * (1 - 1 / kMixMemory));
+    held.attempts.push_back({server, server->info.zone, server->info.cell, now_});
     sink_.Send(it->first, server->info.id, TimeOut(held));
-    if (const Micros late = held.arrived + ClassOf(held).aim - now_; late > 0)
-      Alarm(it, late);
+    if (const Micros late = held.arrived + ClassOf(held).aim - now_; late > 0) Alarm(it, late);
   }
 
-  // An attempt is given up when its answer would be worth nothing. Guards
-  // against servers kept busy with what comes late, and tells early of those
-  // that hang.
-  Micros TimeOut(const Held &held) const {
-    const RequestClass &c = ClassOf(held);
-    if (c.aim <= 0 || c.late_worth > 0 || c.aim_stretch > 0)
-      return 0;
+  // An attempt is given up when its answer would be worth nothing. Guards against servers kept busy with what
+  // comes late, and tells early of those that hang.
+  Micros TimeOut(const Held& held) const {
+    const RequestClass& c = ClassOf(held);
+    if (c.aim <= 0 || c.late_worth > 0 || c.aim_stretch > 0) return 0;
     return std::max<Micros>(held.arrived + c.aim - now_, set_.tick);
   }
 
   // ---- Overload: which work is let in ----
 
-  // Under pressure the work of least worth is refused first, before it fills a
-  // queue. Guards against servers that choke and against answers that all come
-  // late, each retried by its client on top of the load.
-  bool LetIn(Held &held) {
+  // Under pressure the work of least worth is refused first, before it fills a queue. Guards against servers
+  // that choke and against answers that all come late, each retried by its client on top of the load.
+  bool LetIn(Held& held) {
     const std::size_t own = held.request_class;
     for (held.pool = 0; held.pool < pools_.size(); ++held.pool) {
-      // A crossing has to be worth its price: requests of least worth stay at
-      // home or are refused.
-      if (held.pool > 0 && Worth(own) < set_.price_crossing * mean_worth_)
-        break;
-      if (!pools_[held.pool].ring.empty() &&
-          Admits(pools_[held.pool], own, held.late))
-        return true;
+      // A crossing has to be worth its price: requests of least worth stay at home or are refused.
+      if (held.pool > 0 && Worth(own) < set_.price_crossing * mean_worth_) break;
+      if (!pools_[held.pool].ring.empty() && Admits(pools_[held.pool], own, held.late)) return true;
     }
     held.pool = 0;
-    return pools_[0].ring.empty() &&
-           pools_[1].ring.empty(); // a server may yet be listed while it waits
+    return pools_[0].ring.empty() && pools_[1].ring.empty();  // a server may yet be listed while it waits
   }
 
-  // Says what is refused on arrival and why; at most once a second and nothing
-  // while all is let in.
-  void LogAdmission(const Held &held, bool let_in) {
+  // Says what is refused on arrival and why; at most once a second and nothing while all is let in.
+  void LogAdmission(const Held& held, bool let_in) {
     ++arrived_;
-    if (!let_in)
-      ++refused_;
-    if (refused_ == 0 || now_ < logged_at_ + kSecond)
-      return;
-    const Pool &pool = pools_[held.pool];
+    if (!let_in) ++refused_;
+    if (refused_ == 0 || now_ < logged_at_ + kSecond) return;
+    const Pool& pool = pools_[held.pool];
     char text[200];
     std::snprintf(text, sizeof text,
-                  "admission: %d of %d requests refused; admit %.2f, room "
-                  "%.2f; pressure %.2f aims, "
+                  "admission: %d of %d requests refused; admit %.2f, room %.2f; pressure %.2f aims, "
                   "least %.2f, target %.2f; %d out at %zu servers",
-                  std::exchange(refused_, 0), std::exchange(arrived_, 0),
-                  pool.admit, Room(pool), pool.usual, pool.unloaded,
-                  std::max(Target(pool), LeastTarget(pool)), pool.out,
-                  pool.ring.size());
+                  std::exchange(refused_, 0), std::exchange(arrived_, 0), pool.admit, Room(pool), pool.usual,
+                  pool.unloaded, std::max(Target(pool), LeastTarget(pool)), pool.out, pool.ring.size());
     logged_at_ = now_;
     sink_.Log(text);
   }
 
-  // What was fit for all of them is too much for those that are left, and they
-  // choke before it shows; what comes is given back. Guards against half of the
-  // servers going at once. Squared: what good answers have saved makes up for
-  // one server of eight, so that one that is replaced refuses nobody, and not
-  // for half of them. By the plain share of min(admit, 1) each replacement
-  // refused for a quarter second; the plain share of all that was saved would
-  // let in three quarters for half. It could harm where those that go were
-  // doing nothing; good answers mend that within a second.
-  static void Rescale(Pool &pool, std::size_t before) {
-    if (before == 0 || pool.ring.empty())
-      return;
-    const double share =
-        static_cast<double>(pool.ring.size()) / static_cast<double>(before);
-    pool.admit = std::clamp(pool.admit * share * share, kAdmitLeast,
-                            std::max(pool.admit, 1.0));
+  // What was fit for all of them is too much for those that are left, and they choke before it shows; what
+  // comes is given back. Guards against half of the servers going at once. Squared: what good answers have
+  // saved makes up for one server of eight, so that one that is replaced refuses nobody, and not for half of
+  // them. By the plain share of min(admit, 1) each replacement refused for a quarter second; the plain share
+  // of all that was saved would let in three quarters for half. It could harm where those that go were doing
+  // nothing; good answers mend that within a second.
+  static void Rescale(Pool& pool, std::size_t before) {
+    if (before == 0 || pool.ring.empty()) return;
+    const double share = static_cast<double>(pool.ring.size()) / static_cast<double>(before);
+    pool.admit = std::clamp(pool.admit * share * share, kAdmitLeast, std::max(pool.admit, 1.0));
   }
 
-  void CountArrival(const Held &held, std::optional<Micros> cost) {
+  void CountArrival(const Held& held, std::optional<Micros> cost) {
     const std::size_t own = held.request_class;
     hinted_ = hinted_ || cost.has_value();
-    if (cost)
-      load_[own].work +=
-          (static_cast<double>(*cost) - load_[own].work) / kMixMemory;
-    for (ClassLoad &load : load_)
-      load.arriving *= 1 - 1 / kMixMemory;
+    if (cost) load_[own].work += (static_cast<double>(*cost) - load_[own].work) / kMixMemory;
+    for (ClassLoad& load : load_) load.arriving *= 1 - 1 / kMixMemory;
     load_[own].arriving += load_[own].work;
-    mean_worth_ +=
-        (Worth(own) - mean_worth_) / (mean_worth_ > 0 ? kMixMemory : 1);
+    mean_worth_ += (Worth(own) - mean_worth_) / (mean_worth_ > 0 ? kMixMemory : 1);
   }
 
-  // The share that the attempts that are out leave room for. Answers tell of an
-  // overload late and make it look small, as the quick ones come first: with a
-  // third more out than servers keep up with, admission stood at its most while
-  // the answers that came were as usual, and four of nine choked. What is out
-  // shows it at once, whatever the cause: a burst, servers that go, slow down
-  // or choke. It could harm where more work comes for good within seconds; as
-  // long as answers stay good the limit follows.
-  double Room(const Pool &pool) const {
-    if (!pool.limited)
-      return 1;
-    const double over =
-        pool.out / (pool.out_each * static_cast<double>(pool.ring.size()));
-    return std::clamp((kOutFull - over) / (kOutFull - kOutFrom), kAdmitLeast,
-                      1.0);
+  // The share that the attempts that are out leave room for. Answers tell of an overload late and make it
+  // look small, as the quick ones come first: with a third more out than servers keep up with, admission
+  // stood at its most while the answers that came were as usual, and four of nine choked. What is out shows
+  // it at once, whatever the cause: a burst, servers that go, slow down or choke. It could harm where more
+  // work comes for good within seconds; as long as answers stay good the limit follows.
+  double Room(const Pool& pool) const {
+    if (!pool.limited) return 1;
+    const double over = pool.out / (pool.out_each * static_cast<double>(pool.ring.size()));
+    return std::clamp((kOutFull - over) / (kOutFull - kOutFrom), kAdmitLeast, 1.0);
   }
 
-  static void LearnOut(Pool &pool) {
-    if (pool.admit < 1 || pool.ring.empty())
-      return;
+  static void LearnOut(Pool& pool) {
+    if (pool.admit < 1 || pool.ring.empty()) return;
     const double servers = static_cast<double>(pool.ring.size());
     pool.outs = std::min(pool.outs + 1, kOutMemory);
     pool.out_each += (pool.out / servers - pool.out_each) / pool.outs;
-    pool.limited =
-        pool.outs >= kOutLearnt && pool.out_each * servers >= kSteadyOut;
+    pool.limited = pool.outs >= kOutLearnt && pool.out_each * servers >= kSteadyOut;
   }
 
-  bool Admits(const Pool &pool, std::size_t own, bool late) {
+  bool Admits(const Pool& pool, std::size_t own, bool late) {
     const double admit = std::min(pool.admit, Room(pool));
-    if (admit >= 1)
-      return true;
+    if (admit >= 1) return true;
     return random_.Unit() * load_[own].arriving <
-           admit * Arriving(0) -
-               Arriving(Density(own) *
-                        (late ? set_.classes[own].late_worth : 1));
+           admit * Arriving(0) - Arriving(Density(own) * (late ? set_.classes[own].late_worth : 1));
   }
 
   // Work that arrived lately and is worth more than `density`.
   double Arriving(double density) const {
     double sum = 0;
     for (std::size_t i = 0; i < load_.size(); ++i)
-      if (Density(i) > density)
-        sum += load_[i].arriving;
+      if (Density(i) > density) sum += load_[i].arriving;
     return sum;
   }
 
-  double AdmitTarget(const Pool &pool) const {
-    return set_.reports == Settings::Reports::kNone
-               ? kAdmitTarget
-               : std::min(kAdmitTargetReported, pool.unloaded + kRoom);
+  double AdmitTarget(const Pool& pool) const {
+    return set_.reports == Settings::Reports::kNone ? kAdmitTarget
+                                                    : std::min(kAdmitTargetReported, pool.unloaded + kRoom);
   }
 
-  // The target goes no lower than some way above the least pressure that was
-  // usual.
-  double LeastTarget(const Pool &pool) const {
-    const double busy = std::clamp(
-        (pool.out_peak - kBusyFrom) / (kBusyFull - kBusyFrom), 0.0, 1.0);
+  // The target goes no lower than some way above the least pressure that was usual.
+  double LeastTarget(const Pool& pool) const {
+    const double busy = std::clamp((pool.out_peak - kBusyFrom) / (kBusyFull - kBusyFrom), 0.0, 1.0);
     const double headroom = kHeadroom + busy * (kHeadroomBusy - kHeadroom);
-    const double most =
-        AdmitTarget(pool) +
-        busy * std::max(kAdmitTargetBusy - AdmitTarget(pool), 0.0);
+    const double most = AdmitTarget(pool) + busy * std::max(kAdmitTargetBusy - AdmitTarget(pool), 0.0);
     return std::min(headroom * pool.unloaded, most);
   }
 
-  // The pressure, in aims, at which no more is to be let in. It follows the
-  // worth of the work at the margin, the least that is still let in: cheap work
-  // goes while servers are far from choking, dear work only when answers come
-  // late.
-  double Target(const Pool &pool) const {
+  // The pressure, in aims, at which no more is to be let in. It follows the worth of the work at the margin,
+  // the least that is still let in: cheap work goes while servers are far from choking, dear work only when
+  // answers come late.
+  double Target(const Pool& pool) const {
     const double total = Arriving(0);
-    if (total <= 0)
-      return AdmitTarget(pool);
+    if (total <= 0) return AdmitTarget(pool);
     double margin = 0;
     double mean = 0;
     for (std::size_t i = 0; i < load_.size(); ++i) {
@@ -548,306 +429,239 @@
   }
   double Density(std::size_t i) const { return Worth(i) / load_[i].work; }
 
-  // An attempt that is still out when its request's aim has passed is pressure
-  // at once. Guards against hearing of an overload only when the answers come,
-  // seconds after they were late.
-  void FeelLate(Held &held) {
-    Attempt &attempt = held.attempts.back();
-    if (!attempt.out || std::exchange(attempt.felt, true))
-      return;
+  // An attempt that is still out when its request's aim has passed is pressure at once. Guards against
+  // hearing of an overload only when the answers come, seconds after they were late.
+  void FeelLate(Held& held) {
+    Attempt& attempt = held.attempts.back();
+    if (!attempt.out || std::exchange(attempt.felt, true)) return;
     Feel(held, *attempt.server, {.request = {}, .result = Result::kTimeout});
     Strike(*attempt.server, attempt.sent);
   }
 
   // What an outcome tells of the pressure on the servers.
-  void Feel(const Held &held, const Server &server, const Outcome &outcome) {
-    Pool &pool = pools_[server.pool];
-    // Requests that get no answer say nothing of load where the concurrency
-    // limit tells it: they are few servers' that stall, or lost on the way; nor
-    // do they where the server has lately had idle cores. As pressure they kept
-    // more than half of the work from servers that stood idle, for ten seconds;
-    // each one outweighs ten good answers. It could harm where servers choke
-    // without more attempts out than usual; what they answer still tells it.
-    if (outcome.result == Result::kTimeout && (pool.limited || !server.busy))
-      return;
-    const double aim =
-        static_cast<double>(std::max<Micros>(ClassOf(held).aim, 1));
-    double aims =
-        std::min(static_cast<double>(outcome.elapsed) / aim, kAdmitWorst);
+  void Feel(const Held& held, const Server& server, const Outcome& outcome) {
+    Pool& pool = pools_[server.pool];
+    // Requests that get no answer say nothing of load where the concurrency limit tells it: they are few
+    // servers' that stall, or lost on the way; nor do they where the server has lately had idle cores. As
+    // pressure they kept more than half of the work from servers that stood idle, for ten seconds; each one
+    // outweighs ten good answers. It could harm where servers choke without more attempts out than usual;
+    // what they answer still tells it.
+    if (outcome.result == Result::kTimeout && (pool.limited || !server.busy)) return;
+    const double aim = static_cast<double>(std::max<Micros>(ClassOf(held).aim, 1));
+    double aims = std::min(static_cast<double>(outcome.elapsed) / aim, kAdmitWorst);
     if (outcome.result == Result::kSuccess) {
-      ClassLoad &load = load_[held.request_class];
-      pool.elapsed += (static_cast<double>(outcome.elapsed) - pool.elapsed) /
-                      (pool.elapsed > 0 ? kMixMemory : 1);
-      if (!hinted_)
-        load.work +=
-            (static_cast<double>(outcome.elapsed) - load.work) / kMixMemory;
+      ClassLoad& load = load_[held.request_class];
+      pool.elapsed +=
+          (static_cast<double>(outcome.elapsed) - pool.elapsed) / (pool.elapsed > 0 ? kMixMemory : 1);
+      if (!hinted_) load.work += (static_cast<double>(outcome.elapsed) - load.work) / kMixMemory;
     } else if (outcome.result == Result::kTimeout ||
-               (outcome.result == Result::kRefused &&
-                !RefusesOneClass(server))) {
+               (outcome.result == Result::kRefused && !RefusesOneClass(server))) {
       aims = kAdmitWorst;
     } else {
-      return; // says nothing of load
+      return;  // says nothing of load
     }
     LearnOut(pool);
     pool.answers = std::min(pool.answers + 1, kUsualMemory);
     pool.usual += (aims - pool.usual) / pool.answers;
-    if (pool.answers >= kUsualMemory / 2)
-      pool.unloaded = std::min(pool.unloaded, pool.usual);
-    // Guards against refusing work while servers have room: a dear request, a
-    // slow core or a far zone takes as long as an overload does. It could harm
-    // where reports lag far behind a sudden one.
-    if (!server.busy)
-      aims = std::min(aims, pool.unloaded);
+    if (pool.answers >= kUsualMemory / 2) pool.unloaded = std::min(pool.unloaded, pool.usual);
+    // Guards against refusing work while servers have room: a dear request, a slow core or a far zone takes
+    // as long as an overload does. It could harm where reports lag far behind a sudden one.
+    if (!server.busy) aims = std::min(aims, pool.unloaded);
     pool.lates = aims < 1 ? 0 : std::min(pool.lates + 1, kLatesMost);
     const double least = pool.unloaded < kAdmitWorst ? LeastTarget(pool) : 0;
-    const double gain =
-        kAdmitStep * std::min(1.0, kSteadyOut / std::max(pool.out_peak, 1.0));
-    const double step = gain * (std::max(Target(pool), least) -
-                                aims * std::max(pool.lates, 1.0));
-    // The less is let in, the fewer outcomes there are to recover by: each
-    // counts for more then.
-    pool.admit = std::clamp(
-        pool.admit +
-            (step > 0 ? step / std::max(pool.admit, kRecoverAt) : step),
-        kAdmitLeast, kAdmitMost);
+    const double gain = kAdmitStep * std::min(1.0, kSteadyOut / std::max(pool.out_peak, 1.0));
+    const double step = gain * (std::max(Target(pool), least) - aims * std::max(pool.lates, 1.0));
+    // The less is let in, the fewer outcomes there are to recover by: each counts for more then.
+    pool.admit = std::clamp(pool.admit + (step > 0 ? step / std::max(pool.admit, kRecoverAt) : step),
+                            kAdmitLeast, kAdmitMost);
   }
 
-  static double SlowMemory(const Pool &pool) {
-    return std::clamp(kSlowMemoryBusy * pool.out_peak / kSteadyOut, kSlowMemory,
-                      kSlowMemoryBusy);
+  static double SlowMemory(const Pool& pool) {
+    return std::clamp(kSlowMemoryBusy * pool.out_peak / kSteadyOut, kSlowMemory, kSlowMemoryBusy);
   }
 
   // What an outcome tells of the server.
-  void Judge(const Held &held, Server &server, Micros sent,
-             const Outcome &outcome) {
-    ClassLoad &load = load_[held.request_class];
+  void Judge(const Held& held, Server& server, Micros sent, const Outcome& outcome) {
+    ClassLoad& load = load_[held.request_class];
     const double elapsed = static_cast<double>(outcome.elapsed);
-    double slow = kSlowMost; // timed out, unreachable or reset
+    double slow = kSlowMost;  // timed out, unreachable or reset
     if (outcome.result == Result::kSuccess) {
-      if (load.answer <= 0)
-        load.answer = elapsed;
+      if (load.answer <= 0) load.answer = elapsed;
       load.answer += (elapsed - load.answer) / kMixMemory;
       slow = std::min(elapsed / std::max(load.answer, 1.0), kSlowMost);
-    } else if (outcome.result == Result::kCancelled ||
-               outcome.result == Result::kNeverSent) {
+    } else if (outcome.result == Result::kCancelled || outcome.result == Result::kNeverSent) {
       return;
     }
-    const bool unanswered =
-        outcome.result == Result::kTimeout || outcome.result == Result::kReset;
+    const bool unanswered = outcome.result == Result::kTimeout || outcome.result == Result::kReset;
     server.failing.resize(load_.size());
-    double &failing = server.failing[held.request_class];
-    if (outcome.result == Result::kError || unanswered)
-      failing += (kRefusalMost - failing) / kErrorMemory;
-    if (outcome.result == Result::kSuccess)
-      failing -= failing / kServedMemory;
-    if (outcome.result == Result::kError)
-      return;
+    double& failing = server.failing[held.request_class];
+    if (outcome.result == Result::kError || unanswered) failing += (kRefusalMost - failing) / kErrorMemory;
+    if (outcome.result == Result::kSuccess) failing -= failing / kServedMemory;
+    if (outcome.result == Result::kError) return;
     server.refuses.resize(load_.size());
-    double &refuses = server.refuses[held.request_class];
-    if (outcome.result == Result::kRefused)
-      refuses += (kRefusalMost - refuses) / kRefusalMemory;
-    if (outcome.result == Result::kSuccess)
-      refuses -= refuses / kServedMemory;
+    double& refuses = server.refuses[held.request_class];
+    if (outcome.result == Result::kRefused) refuses += (kRefusalMost - refuses) / kRefusalMemory;
+    if (outcome.result == Result::kSuccess) refuses -= refuses / kServedMemory;
     if (outcome.result != Result::kRefused)
       server.slow += (slow - server.slow) / SlowMemory(pools_[server.pool]);
     if (outcome.result == Result::kSuccess) {
-      if (outcome.elapsed >= ClassOf(held).aim)
-        return;
+      if (outcome.elapsed >= ClassOf(held).aim) return;
       server.strikes = 0;
       server.good_at = now_;
     } else if (outcome.result != Result::kRefused) {
-      Strike(server, sent);
+      // At once broken, it says less: the network resets some of any server's requests. Guards against
+      // leaving half of the servers alone all the time; one that is dead has served nothing for an aim soon
+      // enough.
+      Strike(server, std::min(sent, now_ - ClassOf(held).aim));
     }
   }
 
-  // Outlier ejection: leaves a server alone for a while. Guards against dead,
-  // stuck and choking servers. A server on trial with an attempt out counts
-  // among those left alone, so that lateness ejects it from a narrow window
-  // once and not again: one that answers in the end is not given up (round 27).
-  // One that has served others well since the attempt was sent stays in: the
-  // request was dear, or its answer alone was spoilt. Guards against leaving
-  // healthy servers alone by chance: at 300 requests a second, a hundredth of
-  // them late, a sidecar left up to five of nine alone at once, and the rest
-  // choked. It could harm where a server hangs on one kind of request only.
-  void Strike(Server &server, Micros sent) {
-    if (now_ < server.away_until || server.good_at > sent)
-      return;
-    const Pool &pool = pools_[server.pool];
+  // Outlier ejection: leaves a server alone for a while. Guards against dead, stuck and choking servers. A
+  // server on trial with an attempt out counts among those left alone, so that lateness ejects it from a
+  // narrow window once and not again: one that answers in the end is not given up (round 27).
+  // One that has served others well since the attempt was sent stays in: the request was dear, or its answer
+  // alone was spoilt. Guards against leaving healthy servers alone by chance: at 300 requests a second, a
+  // hundredth of them late, a sidecar left up to five of nine alone at once, and the rest choked. It could
+  // harm where a server hangs on one kind of request only.
+  void Strike(Server& server, Micros sent) {
+    if (now_ < server.away_until || server.good_at > sent) return;
+    const Pool& pool = pools_[server.pool];
     const std::size_t width = Width(pool, set_);
     std::size_t away = 0;
-    for (std::size_t i = 0; i < width; ++i)
-      away += Away(pool.InWindow(i));
-    if (static_cast<double>(away + 1) > kMostAway * static_cast<double>(width))
-      return;
-    server.away_until =
-        now_ + random_.Upto(Doubled(kServerBase, server.strikes++, kRetryCap));
+    for (std::size_t i = 0; i < width; ++i) away += Away(pool.InWindow(i));
+    if (static_cast<double>(away + 1) > kMostAway * static_cast<double>(width)) return;
+    server.away_until = now_ + random_.Upto(Doubled(kServerBase, server.strikes++, kRetryCap));
   }
 
   // A server in its wait, or with its one trial attempt out.
-  bool Away(const Server &server) const {
+  bool Away(const Server& server) const {
     return now_ < server.away_until || (server.strikes > 0 && server.out > 0);
   }
 
   // One class turned away of several is a limit on it and no pressure.
-  static bool RefusesOneClass(const Server &server) {
+  static bool RefusesOneClass(const Server& server) {
     const auto some = [](double share) { return share > kRefusesSome; };
     return server.refuses.size() > 1 &&
-           std::count_if(server.refuses.begin(), server.refuses.end(), some) ==
-               1;
+           std::count_if(server.refuses.begin(), server.refuses.end(), some) == 1;
   }
 
-  // A server that lately turned away this class is passed over as often as it
-  // did. Guards against limits on one class, which say nothing of room for the
-  // others, and against full servers. It could harm where all refuse by chance;
-  // the search from end to end then takes any.
-  bool Refuses(const Held &held, const Server &server) {
-    const double share =
-        server.refuses.empty() ? 0 : server.refuses[held.request_class];
+  // A server that lately turned away this class is passed over as often as it did. Guards against limits on
+  // one class, which say nothing of room for the others, and against full servers. It could harm where all
+  // refuse by chance; the search from end to end then takes any.
+  bool Refuses(const Held& held, const Server& server) {
+    const double share = server.refuses.empty() ? 0 : server.refuses[held.request_class];
     return share > 0 && random_.Unit() < share;
   }
 
-  // A server that answers with errors is passed over by how often it did.
-  // Guards against one that fails fast: it has few attempts out and looks the
-  // least busy, so that it drew the more requests the faster it failed. The
-  // same for one that lets requests time out or resets them while it serves
-  // others well, which keeps it from being left alone. By class: servers that
-  // fail one kind of request alone serve the others well, and that hid it.
-  bool Fails(const Held &held, const Server &server) {
-    const double share =
-        server.failing.empty() ? 0 : server.failing[held.request_class];
+  // A server that answers with errors is passed over by how often it did. Guards against one that fails fast:
+  // it has few attempts out and looks the least busy, so that it drew the more requests the faster it failed.
+  // The same for one that lets requests time out or resets them while it serves others well, which keeps it
+  // from being left alone.
+  // By class: servers that fail one kind of request alone serve the others well, and that hid it.
+  bool Fails(const Held& held, const Server& server) {
+    const double share = server.failing.empty() ? 0 : server.failing[held.request_class];
     return share > 0 && random_.Unit() < std::min(2 * share, kRefusalMost);
   }
 
   // ---- The choice of a server ----
 
-  // How busy a server is by own attempts out, counted in the time that it takes
-  // for each. Own counts alone do not see a slow server that answers in the
-  // end, nor do they tell idle servers apart. One that has attempts out and has
-  // said nothing for longer than they explain looks the busier the longer it is
-  // silent: guards against servers that stall, hang or vanish, long before
-  // their requests are late. It could harm a server that has dear requests
-  // alone; two of them count no more than a few others.
-  double Busy(const Server &server) const {
+  // How busy a server is by own attempts out, counted in the time that it takes for each. Own counts alone do
+  // not see a slow server that answers in the end, nor do they tell idle servers apart. One that has attempts
+  // out and has said nothing for longer than they explain looks the busier the longer it is silent: guards
+  // against servers that stall, hang or vanish, long before their requests are late. It could harm a server
+  // that has dear requests alone; two of them count no more than a few others.
+  double Busy(const Server& server) const {
     const double usual = pools_[server.pool].elapsed;
-    const double silent =
-        usual > 0
-            ? static_cast<double>(now_ - server.heard_at) * server.out / usual
-            : 0;
+    const double silent = usual > 0 ? static_cast<double>(now_ - server.heard_at) * server.out / usual : 0;
     return (server.out + 1) * server.slow * std::max(1.0, silent / kSilence);
   }
 
-  // The less busy of two random window servers. Null if the window holds none
-  // that may be used.
-  Server *Choose(const Held &held) {
-    const Pool &pool =
-        pools_[pools_[held.pool].ring.empty() ? 1 - held.pool : held.pool];
+  // The less busy of two random window servers. Null if the window holds none that may be used.
+  Server* Choose(const Held& held) {
+    const Pool& pool = pools_[pools_[held.pool].ring.empty() ? 1 - held.pool : held.pool];
     const std::size_t width = Width(pool, set_);
-    if (width == 0)
-      return nullptr;
-    Server *best = nullptr;
+    if (width == 0) return nullptr;
+    Server* best = nullptr;
     int found = 0;
     for (int draw = 0; draw < kDraws && found < 2; ++draw) {
-      Server &server = pool.InWindow(random_.Below(width));
-      if (Away(server) || Refuses(held, server) || Fails(held, server) ||
-          !MayUse(held, server) || !AcceptYoung(server))
+      Server& server = pool.InWindow(random_.Below(width));
+      if (Away(server) || Refuses(held, server) || Fails(held, server) || !MayUse(held, server) ||
+          !AcceptYoung(server))
         continue;
       ++found;
-      if (best == nullptr || Busy(server) < Busy(*best))
-        best = &server;
+      if (best == nullptr || Busy(server) < Busy(*best)) best = &server;
     }
-    if (best != nullptr)
-      return best;
-    bool none_warm = true; // then nobody serves enough to earn credit, and
-                           // chance by share has to do
-    for (std::size_t i = 0; i < width; ++i)
-      none_warm = none_warm && Warmth(pool.InWindow(i)) < 1;
+    if (best != nullptr) return best;
+    bool none_warm = true;  // then nobody serves enough to earn credit, and chance by share has to do
+    for (std::size_t i = 0; i < width; ++i) none_warm = none_warm && Warmth(pool.InWindow(i)) < 1;
     const std::size_t start = random_.Below(width);
-    // Twice round: what is left alone for a while may serve, and what fails
-    // this class hardly ever does.
+    // Twice round: what is left alone for a while may serve, and what fails this class hardly ever does.
     for (std::size_t i = 0; i < 2 * width; ++i) {
-      Server &server = pool.InWindow((start + i) % width);
-      if (!MayUse(held, server) || (i < width && Fails(held, server)))
-        continue;
-      if (AcceptYoung(server) || (none_warm && random_.Unit() < Warmth(server)))
-        return &server;
+      Server& server = pool.InWindow((start + i) % width);
+      if (!MayUse(held, server) || (i < width && Fails(held, server))) continue;
+      if (AcceptYoung(server) || (none_warm && random_.Unit() < Warmth(server))) return &server;
     }
     return held.MayHaveRun() == nullptr ? nullptr : OutsideWindow(held);
   }
 
-  // The exception to the window: what may have run can be repeated only in its
-  // group, and the window may hold no other server of it. Then any listed
-  // server of the group will do, for as long as repeats are dropped.
-  Server *OutsideWindow(const Held &held) {
-    for (Pool &pool : pools_) {
+  // The exception to the window: what may have run can be repeated only in its group, and the window may hold
+  // no other server of it. Then any listed server of the group will do, for as long as repeats are dropped.
+  Server* OutsideWindow(const Held& held) {
+    for (Pool& pool : pools_) {
       const std::size_t start = random_.Below(pool.ring.size());
       for (std::size_t i = 0; i < pool.ring.size(); ++i) {
-        Server &server = *pool.ring[(start + i) % pool.ring.size()];
-        if (!Away(server) && MayUse(held, server) && AcceptYoung(server))
-          return &server;
+        Server& server = *pool.ring[(start + i) % pool.ring.size()];
+        if (!Away(server) && MayUse(held, server) && AcceptYoung(server)) return &server;
       }
     }
     return nullptr;
   }
 
-  // After a refusal another server is tried; after an attempt that may have
-  // run, only what drops the repeat.
-  bool MayUse(const Held &held, const Server &server) const {
+  // After a refusal another server is tried; after an attempt that may have run, only what drops the repeat.
+  bool MayUse(const Held& held, const Server& server) const {
     if (!held.attempts.empty() && held.attempts.back().server == &server &&
         Width(pools_[server.pool], set_) > 1)
       return false;
-    const Attempt *ran = held.MayHaveRun();
-    const RequestClass &c = ClassOf(held);
-    if (!MayRepeat(held))
-      return false;
-    if (ran == nullptr || c.repeat == Repeat::kSafe)
-      return true;
-    if (c.group == DedupGroup::kZone)
-      return ran->zone == server.info.zone;
-    if (c.group == DedupGroup::kCell)
-      return ran->cell == server.info.cell;
+    const Attempt* ran = held.MayHaveRun();
+    const RequestClass& c = ClassOf(held);
+    if (!MayRepeat(held)) return false;
+    if (ran == nullptr || c.repeat == Repeat::kSafe) return true;
+    if (c.group == DedupGroup::kZone) return ran->zone == server.info.zone;
+    if (c.group == DedupGroup::kCell) return ran->cell == server.info.cell;
     return true;
   }
 
-  // The share of its full capacity that a server certainly has: it grows from
-  // the cold share over the warm-up.
-  double Warmth(const Server &server) const {
+  // The share of its full capacity that a server certainly has: it grows from the cold share over the
+  // warm-up.
+  double Warmth(const Server& server) const {
     const Micros age = now_ - server.info.started;
-    if (server.info.started == 0 || age >= set_.warm_after)
-      return 1;
-    const double grown = static_cast<double>(std::max<Micros>(age, 0)) /
-                         static_cast<double>(set_.warm_after);
+    if (server.info.started == 0 || age >= set_.warm_after) return 1;
+    const double grown = static_cast<double>(std::max<Micros>(age, 0)) / static_cast<double>(set_.warm_after);
     return set_.cold_share + (1 - set_.cold_share) * grown;
   }
 
-  // A young server is sent its share of what this sidecar is *served* by a
-  // server on average. Counting answers and not sends guards against an
-  // overload, where sends and retries together exceed what a server can do many
-  // times, and against an idle newcomer that every sidecar prefers at once.
-  bool AcceptYoung(Server &server) {
+  // A young server is sent its share of what this sidecar is *served* by a server on average. Counting
+  // answers and not sends guards against an overload, where sends and retries together exceed what a server
+  // can do many times, and against an idle newcomer that every sidecar prefers at once.
+  bool AcceptYoung(Server& server) {
     const double warmth = Warmth(server);
-    if (warmth >= 1)
-      return true;
-    const double served_each =
-        static_cast<double>(served_ - server.served_then) /
-        static_cast<double>(Width(pools_[server.pool], set_));
-    server.young_credit =
-        std::min(1.0, server.young_credit + warmth * served_each);
+    if (warmth >= 1) return true;
+    const double served_each = static_cast<double>(served_ - server.served_then) /
+                               static_cast<double>(Width(pools_[server.pool], set_));
+    server.young_credit = std::min(1.0, server.young_credit + warmth * served_each);
     server.served_then = served_;
-    if (server.young_credit < 1)
-      return false;
+    if (server.young_credit < 1) return false;
     server.young_credit -= 1;
     return true;
   }
 
-  // The design's wait: full jitter, doubling. Ends the request when nothing
-  // more can come of it.
+  // The design's wait: full jitter, doubling. Ends the request when nothing more can come of it.
   void Wait(HeldIt it) {
-    Held &held = it->second;
+    Held& held = it->second;
     const int n = held.refusals++;
     const Micros wait = random_.Upto(Doubled(kRetryBase, n, kRetryCap));
     const int limit = std::min(kMaxAttempts, set_.max_attempts);
-    if (held.refusals >= limit || now_ + wait + set_.tick >= held.deadline ||
-        !MayRepeat(held))
+    if (held.refusals >= limit || now_ + wait + set_.tick >= held.deadline || !MayRepeat(held))
       return End(it);
     Alarm(it, wait);
   }
@@ -858,25 +672,21 @@
     sink_.SetTimer(wait, last_timer_);
   }
 
-  bool MayRepeat(const Held &held) const {
-    const Attempt *ran = held.MayHaveRun();
-    const RequestClass &c = ClassOf(held);
+  bool MayRepeat(const Held& held) const {
+    const Attempt* ran = held.MayHaveRun();
+    const RequestClass& c = ClassOf(held);
     return ran == nullptr || c.repeat == Repeat::kSafe ||
-           (c.repeat == Repeat::kDeduplicated &&
-            now_ < ran->sent + c.dedup_window);
+           (c.repeat == Repeat::kDeduplicated && now_ < ran->sent + c.dedup_window);
   }
 
-  // The final answer. A refusal promises that a further try does no harm; where
-  // that is not certain it fails.
+  // The final answer. A refusal promises that a further try does no harm; where that is not certain it fails.
   void End(HeldIt it) {
-    const RequestClass &c = ClassOf(it->second);
-    const bool harmless =
-        it->second.MayHaveRun() == nullptr || c.repeat == Repeat::kSafe ||
-        (c.group == DedupGroup::kAll && MayRepeat(it->second));
+    const RequestClass& c = ClassOf(it->second);
+    const bool harmless = it->second.MayHaveRun() == nullptr || c.repeat == Repeat::kSafe ||
+                          (c.group == DedupGroup::kAll && MayRepeat(it->second));
     it->second.ended = true;
     if (harmless) {
-      // Advice beyond half the aim would bring the client back too late to be
-      // served in time.
+      // Advice beyond half the aim would bring the client back too late to be served in time.
       const Micros most = std::min(set_.max_retry_after, c.aim / 2);
       sink_.Refuse(it->first, most > 0 ? 1 + random_.Upto(most) : 0);
     } else {
@@ -885,67 +695,56 @@
     Release(it);
   }
 
-  // What is still out of a request that is over serves nobody, and keeps the
-  // turn of its key.
+  // What is still out of a request that is over serves nobody, and keeps the turn of its key.
   void CancelRest(HeldIt it) {
-    if (!set_.cancel || std::exchange(it->second.cancelled, true))
-      return;
+    if (!set_.cancel || std::exchange(it->second.cancelled, true)) return;
     for (std::size_t i = 0; i < it->second.attempts.size(); ++i)
-      if (it->second.attempts[i].out)
-        sink_.Cancel(it->first, static_cast<int>(i));
+      if (it->second.attempts[i].out) sink_.Cancel(it->first, static_cast<int>(i));
   }
 
-  // Forgets a request that is over; the next in its line has the turn then.
-  // Guards the order of a key: the turn is kept while an attempt is unresolved,
-  // even if the client is gone, and for the settle time after doubt.
+  // Forgets a request that is over; the next in its line has the turn then. Guards the order of a key: the
+  // turn is kept while an attempt is unresolved, even if the client is gone, and for the settle time after
+  // doubt.
   void Release(HeldIt it) {
-    Held &held = it->second;
-    if (!held.ended)
-      return;
-    if (held.AnyOut())
-      return CancelRest(it);
+    Held& held = it->second;
+    if (!held.ended) return;
+    if (held.AnyOut()) return CancelRest(it);
     auto line = lines_.find(held.key);
-    if (line == lines_.end())
-      return void(held_.erase(it));
-    if (now_ < held.settled_at)
-      return Alarm(it, held.settled_at - now_);
-    auto &ids = line->second;
+    if (line == lines_.end()) return void(held_.erase(it));
+    if (now_ < held.settled_at) return Alarm(it, held.settled_at - now_);
+    auto& ids = line->second;
     const bool first = ids.front() == it->first;
     ids.erase(std::find(ids.begin(), ids.end(), it->first));
     held_.erase(it);
-    if (ids.empty())
-      return void(lines_.erase(line));
-    if (first)
-      SendOrWait(held_.find(ids.front()));
+    if (ids.empty()) return void(lines_.erase(line));
+    if (first) SendOrWait(held_.find(ids.front()));
   }
 
   // ---- Discovery ----
 
   void AskLater(Micros most) {
-    if (!set_.must_subscribe || ask_pending_)
-      return;
+    if (!set_.must_subscribe || ask_pending_) return;
     ask_pending_ = true;
     sink_.SetTimer(random_.Upto(most), kAskToken);
   }
 
   const Settings set_;
-  ActionSink &sink_;
+  ActionSink& sink_;
   Random random_;
   Micros now_;
-  std::map<std::string, Server>
-      servers_; // sorted: the ring's order; nodes stay put
+  std::map<std::string, Server> servers_;  // sorted: the ring's order; nodes stay put
   std::array<Pool, 2> pools_;
-  std::unordered_map<std::string, Held> held_; // looked up, never walked
+  std::unordered_map<std::string, Held> held_;  // looked up, never walked
   std::unordered_map<std::uint64_t, std::string> timers_;
   std::uint64_t last_timer_ = kAskToken;
   std::unordered_map<std::string, std::deque<std::string>>
-      lines_;                   // request ids by key; looked up, never walked
-  std::vector<ClassLoad> load_; // by class
-  double mean_worth_ = 0;       // of an arriving request
-  bool hinted_ = false;         // requests carry their expected work
-  std::int64_t served_ = 0;     // attempts that succeeded
-  int arrived_ = 0;             // requests since the last line of the log ...
-  int refused_ = 0;             // ... and what of them was refused on arrival
+      lines_;                    // request ids by key; looked up, never walked
+  std::vector<ClassLoad> load_;  // by class
+  double mean_worth_ = 0;        // of an arriving request
+  bool hinted_ = false;          // requests carry their expected work
+  std::int64_t served_ = 0;      // attempts that succeeded
+  int arrived_ = 0;              // requests since the last line of the log ...
+  int refused_ = 0;              // ... and what of them was refused on arrival
   Micros logged_at_ = 0;
   int asks_failed_ = 0;
   bool ask_pending_ = false;
@@ -953,57 +752,43 @@
 
 // ---- The outside ----
 
-std::unique_ptr<Balancer> Balancer::Create(const Settings &s,
-                                           std::uint64_t seed, Micros now,
-                                           ActionSink &sink,
-                                           std::string &error) {
+std::unique_ptr<Balancer> Balancer::Create(const Settings& s, std::uint64_t seed, Micros now,
+                                           ActionSink& sink, std::string& error) {
   error.clear();
-  if (s.classes.empty())
-    error = "no request classes";
-  for (const RequestClass &c : s.classes) {
-    if (c.aim < 0 || c.deadline < 0 || c.dedup_window < 0)
-      error = "negative time in class " + c.name;
+  if (s.classes.empty()) error = "no request classes";
+  for (const RequestClass& c : s.classes) {
+    if (c.aim < 0 || c.deadline < 0 || c.dedup_window < 0) error = "negative time in class " + c.name;
     if (c.repeat < Repeat::kSafe || c.repeat > Repeat::kNever)
       error = "unknown repeat kind in class " + c.name;
-    if (c.group < DedupGroup::kAll || c.group > DedupGroup::kCell)
-      error = "unknown group in class " + c.name;
-    if (!(c.worth >= 0))
-      error = "negative worth in class " + c.name;
-  }
-  if (s.max_attempts < 1)
-    error = "max_attempts under 1";
-  if (s.siblings < 1 || s.rank >= s.siblings)
-    error = "rank outside the number of sidecars";
-  if (!(s.cold_share > 0 && s.cold_share <= 1))
-    error = "cold_share outside (0, 1]";
-  if (!(s.overload_factor > 0))
-    error = "overload_factor not above 0";
-  if (s.warm_after < 0 || s.drain_grace < 0 || s.fall_window < 0 ||
-      s.tick < 0 || s.ask_within < 0 || s.max_retry_after < 0 ||
-      s.settle_after_doubt < 0)
+    if (c.group < DedupGroup::kAll || c.group > DedupGroup::kCell) error = "unknown group in class " + c.name;
+    if (!(c.worth >= 0)) error = "negative worth in class " + c.name;
+  }
+  if (s.max_attempts < 1) error = "max_attempts under 1";
+  if (s.siblings < 1 || s.rank >= s.siblings) error = "rank outside the number of sidecars";
+  if (!(s.cold_share > 0 && s.cold_share <= 1)) error = "cold_share outside (0, 1]";
+  if (!(s.overload_factor > 0)) error = "overload_factor not above 0";
+  if (s.warm_after < 0 || s.drain_grace < 0 || s.fall_window < 0 || s.tick < 0 || s.ask_within < 0 ||
+      s.max_retry_after < 0 || s.settle_after_doubt < 0)
     error = "negative time";
-  if (!error.empty())
-    return nullptr;
-  return std::unique_ptr<Balancer>(
-      new Balancer(std::make_unique<State>(s, seed, now, sink)));
+  if (!error.empty()) return nullptr;
+  return std::unique_ptr<Balancer>(new Balancer(std::make_unique<State>(s, seed, now, sink)));
 }
 
 Balancer::Balancer(std::unique_ptr<State> state) : state_(std::move(state)) {}
 Balancer::~Balancer() = default;
 
-void Balancer::OnServers(Micros now, const ListUpdate &update) {
+void Balancer::OnServers(Micros now, const ListUpdate& update) {
   state_->Advance(now);
   state_->OnServers(update);
 }
-void Balancer::OnRequest(Micros now, const Request &request) {
+void Balancer::OnRequest(Micros now, const Request& request) {
   state_->Advance(now);
   state_->OnRequest(request);
 }
 void Balancer::OnResponseStarted(Micros now, std::string_view, int) {
-  state_->Advance(
-      now); // the attempt is the client's now; its outcome still comes
+  state_->Advance(now);  // the attempt is the client's now; its outcome still comes
 }
-void Balancer::OnOutcome(Micros now, const Outcome &outcome) {
+void Balancer::OnOutcome(Micros now, const Outcome& outcome) {
   state_->Advance(now);
   state_->OnOutcome(outcome);
 }
@@ -1015,12 +800,8 @@
   state_->Advance(now);
   state_->OnTimer(token);
 }
-void Balancer::OnProbed(Micros now, const ProbeResult &) {
-  state_->Advance(now);
-}
-void Balancer::OnPeerMessage(Micros now, std::uint32_t, std::string_view) {
-  state_->Advance(now);
-}
+void Balancer::OnProbed(Micros now, const ProbeResult&) { state_->Advance(now); }
+void Balancer::OnPeerMessage(Micros now, std::uint32_t, std::string_view) { state_->Advance(now); }
 std::size_t Balancer::requests_held() const { return state_->size(); }
 
-} // namespace merlinrun
+}  // namespace merlinrun
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -676,6 +676,34 @@
   EXPECT_GT(sent_to_s00(0, "b"), 20);
 }
 
+// Met on a rough network: each server lost a tenth of its requests, and half of them were left alone all day.
+TEST_F(BalancerTest, AResetLeavesNoServerAloneThatServedWellWithinTheLastAim) {
+  const auto sent_after_reset = [&](Micros quiet) {
+    Start(MakeSettings(), 3);
+    int round = 0;
+    std::map<std::string, int> sent;
+    const auto serve = [&](int count, const std::string& broken) {
+      sent.clear();
+      for (int i = 0; i < count; ++i) {
+        const std::string id = "r" + std::to_string(++round);
+        const std::string server = Arrive(id, 2)[0].server;
+        ++sent[server];
+        const bool reset = server == broken;
+        balancer_->OnOutcome(now_, {id, 0, reset ? Result::kReset : Result::kSuccess, 0, !reset, {}});
+        sink_.Take();
+        if (reset) return;
+      }
+    };
+    serve(60, "");
+    now_ += quiet;
+    serve(60, "s00");
+    serve(60, "");
+    return sent["s00"];
+  };
+  EXPECT_GT(sent_after_reset(900 * kMs), 0);
+  EXPECT_EQ(sent_after_reset(1100 * kMs), 0);
+}
+
 // Met on the same network: with the healthy servers left alone, keyed requests went to those that failed
 // them.
 TEST_F(BalancerTest, AServerThatIsLeftAloneIsTakenBeforeOneThatFailsTheClass) {
