Draw servers by size and by pace, pooled by kind of machine and weighed by hinted cost

At fault were Choose, whose two even draws send the smallest of three servers a ninth and of two small ones far more, Judge, which learnt each server's pace by itself over eight answers of work that differs fiftyfold (a quiet sidecar meets a server once in seconds), and the mean work of a class, which began at 1 us and was far off for hundreds of requests.

Ruled out: discovery (0.05 calls a second and sidecar), connections (1,600 of 60 servers at once, none refused).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -94,6 +94,12 @@
 // over 8 answers healthy ones came out between 0.4 and 2, by chance, and got their work in these proportions.
 constexpr double kSlowMemoryBusy = 32;
 constexpr double kSlowMost = 4;
+// Until a server has answered this often, what its kind of machine usually takes says more of it.
+constexpr double kSlowPrior = 3;
+// The least that a listed weight or a pace counts.
+constexpr double kLeastWeight = 0.01;
+// A request's least size, as a multiple of what is usual for its class.
+constexpr double kLeastSize = 0.05;
 // A server's answers come about as far apart as the usual time of one over the attempts that it has out. By
 // chance a gap of four times that comes once in fifty.
 constexpr double kSilence = 4;
@@ -315,7 +321,7 @@
     const std::size_t own = held.request_class;
     for (held.pool = 0; held.pool < pools_.size(); ++held.pool) {
       // A crossing has to be worth its price: requests of least worth stay at home or are refused.
-      if (held.pool > 0 && Worth(own) < set_.price_crossing * mean_worth_) break;
+      if (held.pool > 0 && Worth(own) < set_.price_crossing * mean_worth_.value) break;
       if (!pools_[held.pool].ring.empty() && Admits(pools_[held.pool], own, held.late)) return true;
     }
     held.pool = 0;
@@ -350,13 +356,17 @@
     pool.admit = std::clamp(pool.admit * share * share, kAdmitLeast, std::max(pool.admit, 1.0));
   }
 
-  void CountArrival(const Held& held, std::optional<Micros> cost) {
+  void CountArrival(Held& held, std::optional<Micros> cost) {
     const std::size_t own = held.request_class;
     hinted_ = hinted_ || cost.has_value();
-    if (cost) load_[own].work += (static_cast<double>(*cost) - load_[own].work) / kMixMemory;
+    if (cost) {
+      const double work = static_cast<double>(std::max<Micros>(*cost, 1));
+      load_[own].work.Add(work, kMixMemory);
+      held.size = std::max(work / load_[own].work.value, kLeastSize);
+    }
     for (ClassLoad& load : load_) load.arriving *= 1 - 1 / kMixMemory;
-    load_[own].arriving += load_[own].work;
-    mean_worth_ += (Worth(own) - mean_worth_) / (mean_worth_ > 0 ? kMixMemory : 1);
+    load_[own].arriving += load_[own].work.value;
+    mean_worth_.Add(Worth(own), kMixMemory);
   }
 
   // The share that the attempts that are out leave room for. Answers tell of an overload late and make it
@@ -425,9 +435,9 @@
   }
 
   double Worth(std::size_t i) const {
-    return set_.classes[i].worth * (set_.worth_by_work ? load_[i].work : 1);
+    return set_.classes[i].worth * (set_.worth_by_work ? load_[i].work.value : 1);
   }
-  double Density(std::size_t i) const { return Worth(i) / load_[i].work; }
+  double Density(std::size_t i) const { return Worth(i) / load_[i].work.value; }
 
   // An attempt that is still out when its request's aim has passed is pressure at once. Guards against
   // hearing of an overload only when the answers come, seconds after they were late.
@@ -451,9 +461,8 @@
     double aims = std::min(static_cast<double>(outcome.elapsed) / aim, kAdmitWorst);
     if (outcome.result == Result::kSuccess) {
       ClassLoad& load = load_[held.request_class];
-      pool.elapsed +=
-          (static_cast<double>(outcome.elapsed) - pool.elapsed) / (pool.elapsed > 0 ? kMixMemory : 1);
-      if (!hinted_) load.work += (static_cast<double>(outcome.elapsed) - load.work) / kMixMemory;
+      pool.elapsed.Add(static_cast<double>(outcome.elapsed), kMixMemory);
+      if (!hinted_) load.work.Add(static_cast<double>(std::max<Micros>(outcome.elapsed, 1)), kMixMemory);
     } else if (outcome.result == Result::kTimeout ||
                (outcome.result == Result::kRefused && !RefusesOneClass(server))) {
       aims = kAdmitWorst;
@@ -484,11 +493,8 @@
   void Judge(const Held& held, Server& server, Micros sent, const Outcome& outcome) {
     ClassLoad& load = load_[held.request_class];
     const double elapsed = static_cast<double>(outcome.elapsed);
-    double slow = kSlowMost;  // timed out, unreachable or reset
     if (outcome.result == Result::kSuccess) {
-      if (load.answer <= 0) load.answer = elapsed;
-      load.answer += (elapsed - load.answer) / kMixMemory;
-      slow = std::min(elapsed / std::max(load.answer, 1.0), kSlowMost);
+      load.answer.Add(elapsed, kMixMemory);
     } else if (outcome.result == Result::kCancelled || outcome.result == Result::kNeverSent) {
       return;
     }
@@ -502,8 +508,13 @@
     double& refuses = server.refuses[held.request_class];
     if (outcome.result == Result::kRefused) refuses += (kRefusalMost - refuses) / kRefusalMemory;
     if (outcome.result == Result::kSuccess) refuses -= refuses / kServedMemory;
-    if (outcome.result != Result::kRefused)
-      server.slow += (slow - server.slow) / SlowMemory(pools_[server.pool]);
+    const double usual = load.answer.value * held.size;
+    if (outcome.result != Result::kRefused && usual > 0) {
+      const double most = kSlowMost * usual;
+      const double taken = outcome.result == Result::kSuccess ? std::min(elapsed, most) : most;
+      server.pace.Add(taken, usual, SlowMemory(pools_[server.pool]));
+      machines_[server.info.machine].Add(taken, usual, kMixMemory);
+    }
     if (outcome.result == Result::kSuccess) {
       if (outcome.elapsed >= ClassOf(held).aim) return;
       server.strikes = 0;
@@ -570,10 +581,21 @@
   // out and has said nothing for longer than they explain looks the busier the longer it is silent: guards
   // against servers that stall, hang or vanish, long before their requests are late. It could harm a server
   // that has dear requests alone; two of them count no more than a few others.
-  double Busy(const Server& server) const {
-    const double usual = pools_[server.pool].elapsed;
+  double Busy(const Held& held, const Server& server) const {
+    const double usual = pools_[server.pool].elapsed.value;
     const double silent = usual > 0 ? static_cast<double>(now_ - server.heard_at) * server.out / usual : 0;
-    return (server.out + 1) * server.slow * std::max(1.0, silent / kSilence);
+    return (server.out + held.size) * Slow(server) * std::max(1.0, silent / kSilence);
+  }
+
+  // How long a server takes for the same work, as a multiple of what is usual. What it has answered is
+  // weighed against what others of its kind of machine did. Guards against learning too late: in a large
+  // fleet a sidecar meets each server seldom, and its first answers say little by themselves.
+  double Slow(const Server& server) const {
+    const double weight = kSlowPrior * std::max(pools_[server.pool].elapsed.value, 1.0);
+    const auto among = machines_.find(server.info.machine);
+    const double kind =
+        among == machines_.end() ? 1 : (among->second.taken + weight) / (among->second.usual + weight);
+    return (server.pace.taken + weight * kind) / (server.pace.usual + weight);
   }
 
   // The less busy of two random window servers. Null if the window holds none that may be used.
@@ -582,14 +604,16 @@
     const std::size_t width = Width(pool, set_);
     if (width == 0) return nullptr;
     Server* best = nullptr;
+    double room = 0;
+    for (std::size_t i = 0; i < width; ++i) room += Pull(pool.InWindow(i));
     int found = 0;
     for (int draw = 0; draw < kDraws && found < 2; ++draw) {
-      Server& server = pool.InWindow(random_.Below(width));
+      Server& server = Draw(pool, width, room);
       if (Away(server) || Refuses(held, server) || Fails(held, server) || !MayUse(held, server) ||
           !AcceptYoung(server))
         continue;
       ++found;
-      if (best == nullptr || Busy(server) < Busy(*best)) best = &server;
+      if (best == nullptr || Busy(held, server) < Busy(held, *best)) best = &server;
     }
     if (best != nullptr) return best;
     bool none_warm = true;  // then nobody serves enough to earn credit, and chance by share has to do
@@ -604,6 +628,20 @@
     return held.MayHaveRun() == nullptr ? nullptr : OutsideWindow(held);
   }
 
+  // How much of the work a server should draw: its size, as far as it is told, by how fast it takes work.
+  double Pull(const Server& server) const {
+    return std::max(server.info.weight, kLeastWeight) / std::max(Slow(server), kLeastWeight);
+  }
+
+  // Chance by size and pace. Guards against small servers that get as much as large ones: two draws alike for
+  // all send the smallest of three still a ninth, which is more than they can do.
+  Server& Draw(const Pool& pool, std::size_t width, double room) {
+    double at = random_.Unit() * room;
+    std::size_t i = 0;
+    while (i + 1 < width && (at -= Pull(pool.InWindow(i))) >= 0) ++i;
+    return pool.InWindow(i);
+  }
+
   // The exception to the window: what may have run can be repeated only in its group, and the window may hold
   // no other server of it. Then any listed server of the group will do, for as long as repeats are dropped.
   Server* OutsideWindow(const Held& held) {
@@ -738,13 +776,14 @@
   std::unordered_map<std::uint64_t, std::string> timers_;
   std::uint64_t last_timer_ = kAskToken;
   std::unordered_map<std::string, std::deque<std::string>>
-      lines_;                    // request ids by key; looked up, never walked
-  std::vector<ClassLoad> load_;  // by class
-  double mean_worth_ = 0;        // of an arriving request
-  bool hinted_ = false;          // requests carry their expected work
-  std::int64_t served_ = 0;      // attempts that succeeded
-  int arrived_ = 0;              // requests since the last line of the log ...
-  int refused_ = 0;              // ... and what of them was refused on arrival
+      lines_;                     // request ids by key; looked up, never walked
+  std::vector<ClassLoad> load_;   // by class
+  std::map<int, Pace> machines_;  // by kind of machine
+  Mean mean_worth_;               // of an arriving request
+  bool hinted_ = false;           // requests carry their expected work
+  std::int64_t served_ = 0;       // attempts that succeeded
+  int arrived_ = 0;               // requests since the last line of the log ...
+  int refused_ = 0;               // ... and what of them was refused on arrival
   Micros logged_at_ = 0;
   int asks_failed_ = 0;
   bool ask_pending_ = false;
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -11,12 +11,36 @@
 
 namespace merlinrun {
 
+// The mean of all that was seen, then a fading one: one that begins at a guess or at its first value alone is
+// far off for as many values as it remembers.
+struct Mean {
+  double value = 0;
+  double seen = 0;
+
+  void Add(double next, double memory) {
+    seen = std::min(seen + 1, memory);
+    value += (next - value) / seen;
+  }
+};
+
+// How long answers took against what is usual for their class and cost: sums of both that fade, so that a
+// dear request tells more than a cheap one and no single one much.
+struct Pace {
+  double taken = 0;
+  double usual = 0;
+
+  void Add(double time, double expected, double memory) {
+    taken += time - taken / memory;
+    usual += expected - usual / memory;
+  }
+};
+
 struct Server {
   ServerInfo info;
   std::size_t pool = 0;
   bool listed = false;
   int out = 0;                   // own attempts in flight
-  double slow = 1;               // its answer times as a multiple of what is usual for their class
+  Pace pace;                     // of its answers
   std::vector<double> refuses;   // by class: share of its requests that were turned away lately
   std::vector<double> failing;   // by class: share of its requests that were lost to errors or silence lately
   bool busy = true;              // its cores are, by its last report; true until it reports
@@ -40,7 +64,7 @@
   double outs = 0;            // answers that say so
   double admit = 1;           // share of the arriving work that is let in
   double usual = 0;           // elapsed time over aim, averaged
-  double elapsed = 0;         // usual time of an answer, in microseconds
+  Mean elapsed;               // usual time of an answer, in microseconds
   double unloaded = 1e9;      // the least that was usual
   double answers = 0;         // that say so
   double lates = 0;           // outcomes in a row that were late or refused
@@ -64,6 +88,7 @@
   std::size_t pool = 0;
   Micros arrived = 0;
   Micros deadline = 0;
+  double size = 1;  // expected work as a multiple of what is usual for its class
   bool ended = false;
   bool cancelled = false;  // what was out at its end is called off
   int refusals = 0;
@@ -83,9 +108,9 @@
   }
 };
 
-struct ClassLoad {    // what this sidecar has seen of a class
-  double work = 1;    // usual work of one request: the hint where there is one, else the time of its answers
-  double answer = 0;  // usual time of an answer; 0 = none yet
+struct ClassLoad {  // what this sidecar has seen of a class
+  Mean work{1, 0};  // usual work of one request: the hint where there is one, else the time of its answers
+  Mean answer;      // usual time of an answer
   Micros longest_budget = 0;  // of its tries: a shorter one is all that is left of the deadline
   double arriving = 0;        // work that arrived lately, fading
 };
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -471,6 +471,89 @@
   EXPECT_EQ(Arrive("r2", 3)[0].time, 0);
 }
 
+// Met in a large fleet: small servers stood in as many windows as large ones, and were sent as much.
+TEST_F(BalancerTest, ASmallServerIsDrawnBySize) {
+  Start(MakeSettings(), 3);
+  auto servers = MakeServers(3);
+  servers[1].weight = servers[2].weight = 4;
+  List(ListUpdate::Kind::kFull, servers);
+  int small = 0;
+  for (int i = 0; i < 3000; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    small += Arrive(id)[0].server == "s00";
+    Resolve(id, 0, Result::kSuccess, true);
+  }
+  EXPECT_GT(small, 200);
+  EXPECT_LT(small, 500);
+}
+
+// Met in a large fleet: a sidecar meets each server seldom, and each new one had to be found slow by itself.
+TEST_F(BalancerTest, WhatItsKindOfMachineTookTellsOfAServerNeverMet) {
+  Start(MakeSettings(), 3);
+  const auto list = [&](int first) {
+    std::vector<ServerInfo> servers = MakeServers(first + 3);
+    servers.erase(servers.begin(), servers.begin() + first);
+    servers[0].machine = 1;
+    List(ListUpdate::Kind::kFull, servers);
+  };
+  const auto sent_to_kind_1 = [&](int count, const std::string& id_of_1, Result result) {
+    int n = 0;
+    for (int i = 0; i < count; ++i) {
+      const std::string id = id_of_1 + "-" + std::to_string(i);
+      const bool of_1 = Arrive(id, 2)[0].server == id_of_1;
+      n += of_1;
+      const bool served = result == Result::kSuccess;
+      balancer_->OnOutcome(now_, {id, 0, result, (of_1 ? 400 : 100) * kMs, served, {}});
+      sink_.Take();
+    }
+    return n;
+  };
+  list(0);
+  sent_to_kind_1(200, "s00", Result::kSuccess);
+  list(10);
+  EXPECT_LT(sent_to_kind_1(300, "s10", Result::kCancelled), 60);
+}
+
+// A dear request waits for a slow core longest; its hint tells.
+TEST_F(BalancerTest, ADearRequestGoesToTheFasterServerEvenIfItIsTheBusier) {
+  Start(MakeSettings(), 2);
+  int round = 0;
+  const auto arrive = [&](Micros cost) {
+    Request request;
+    const std::string id = "r" + std::to_string(++round);
+    request.id = id;
+    request.request_class = 2;
+    request.budget = 5 * kSec;
+    request.cost = cost;
+    balancer_->OnRequest(now_, request);
+    return std::pair{id, Took()[0].server};
+  };
+  for (int i = 0; i < 400; ++i) {
+    const auto [id, server] = arrive(50 * kMs);
+    balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, (server == "s00" ? 200 : 100) * kMs, true, {}});
+  }
+  bool out = false;  // one stays out at s01
+  for (int i = 0; i < 50 && !out; ++i) {
+    const auto [id, server] = arrive(50 * kMs);
+    out = server == "s01";
+    if (!out) balancer_->OnOutcome(now_, {id, 0, Result::kCancelled, 0, false, {}});
+    sink_.Take();
+  }
+  ASSERT_TRUE(out);
+  const auto to_s01 = [&](Micros cost) {
+    int n = 0;
+    for (int i = 0; i < 20; ++i) {
+      const auto [id, server] = arrive(cost);
+      n += server == "s01";
+      balancer_->OnOutcome(now_, {id, 0, Result::kCancelled, 0, false, {}});
+      sink_.Take();
+    }
+    return n;
+  };
+  EXPECT_GT(to_s01(800 * kMs), 14);
+  EXPECT_LT(to_s01(5 * kMs), 14);
+}
+
 TEST_F(BalancerTest, ABusySidecarTakesALongerRunOfTheRing) {
   Settings settings = MakeSettings();
   settings.price_connection = 0.05;
