Spend a young server's credit where a request is sent, not where a server is drawn

At fault was AcceptYoung, which took the credit off at each draw: where the other of the two drawn servers won, it was gone, so a newcomer got half of its share. The share itself and what all sidecars together may send are as before.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -297,6 +297,8 @@
     if (!HasTurn(it)) return Alarm(it, std::max<Micros>(held.deadline - now_ - 2 * set_.tick, 0));
     Server* server = held.deadline > now_ ? Choose(held) : nullptr;
     if (server == nullptr) return Wait(it);
+    // Spent where it is sent to, not where it is drawn: a draw that another server wins must cost it nothing.
+    server->young_credit = std::max(server->young_credit - 1, 0.0);
     if (server->out++ == 0) server->heard_at = now_;
     Pool& pool = pools_[server->pool];
     pool.out_peak = std::max(static_cast<double>(++pool.out), pool.out_peak * (1 - 1 / kMixMemory));
@@ -688,9 +690,7 @@
                                static_cast<double>(Width(pools_[server.pool], set_));
     server.young_credit = std::min(1.0, server.young_credit + warmth * served_each);
     server.served_then = served_;
-    if (server.young_credit < 1) return false;
-    server.young_credit -= 1;
-    return true;
+    return server.young_credit >= 1;
   }
 
   // The design's wait: full jitter, doubling. Ends the request when nothing more can come of it.
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -269,6 +269,24 @@
   EXPECT_LE(young, 1 + served / 3.0 * MakeSettings().cold_share);  // 3: the window
 }
 
+// Met when six in ten servers were replaced: draws that another server won used up the credit, and newcomers
+// stood idle.
+TEST_F(BalancerTest, AYoungServerLosesNoCreditByDrawsThatAnotherWins) {
+  Start(MakeSettings(), 3);
+  auto servers = MakeServers(3);
+  servers[0].started = now_;
+  List(ListUpdate::Kind::kDelta, {servers[0]});
+  int young = 0;
+  for (int i = 0; i < 4000; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const auto sent = Arrive(id);
+    ASSERT_EQ(sent[0].kind, Kind::kSend);
+    young += sent[0].server == "s00";
+    Resolve(id, 0, Result::kSuccess, true);
+  }
+  EXPECT_GT(young, 0.8 * 4000 / 3.0 * MakeSettings().cold_share);
+}
+
 // A sidecar that restarts knows nothing but its last list; many servers may be young in it at once.
 TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtYoungServers) {
   auto servers = MakeServers(4);
