Refuse at once what, by its hint, no server of the window can answer within its aim

Servers go on with what is given up. At fault was LetIn, which looked at pressure alone.

Now a request is hopeless where its class's usual time, its hint and the pace of the fastest server of the window come to more than the aim, with longer odds the dearer its work is. It gets its refusal with Retry-After in the same call. Nothing is refused so where waste has no price, no hints come, or a late answer is worth something.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -96,6 +96,8 @@
 constexpr double kSlowMost = 4;
 // Until a server has answered this often, what its kind of machine usually takes says more of it.
 constexpr double kSlowPrior = 3;
+// Answers of a class after which it is known how long its work takes.
+constexpr double kHopeLearnt = 10;
 // The least that a listed weight or a pace counts.
 constexpr double kLeastWeight = 0.01;
 // A request's least size, as a multiple of what is usual for its class.
@@ -213,7 +215,9 @@
                 ClassOf(held).deadline - in.budget >= ClassOf(held).aim;
     CountArrival(held, in.cost);
     if (ClassOf(held).sequential && !in.key.empty()) lines_[held.key = in.key].push_back(it->first);
-    const bool let_in = LetIn(held);
+    const bool hopeless = Hopeless(held);
+    hopeless_ += hopeless;
+    const bool let_in = !hopeless && LetIn(held);
     LogAdmission(held, let_in);
     if (!let_in) return End(it);
     SendOrWait(it);
@@ -330,18 +334,37 @@
     return pools_[0].ring.empty() && pools_[1].ring.empty();  // a server may yet be listed while it waits
   }
 
+  // Work that the fastest server of the window would not do in time serves nobody, and what it takes there is
+  // paid for. The dearer the work, the longer the odds that are taken.
+  bool Hopeless(const Held& held) const {
+    const RequestClass& c = ClassOf(held);
+    const ClassLoad& load = load_[held.request_class];
+    if (TimeOut(held) == 0 || set_.price_waste <= 0 || load.answer.seen < kHopeLearnt ||
+        mean_density_.value <= 0)
+      return false;
+    const Pool& pool = pools_[pools_[0].ring.empty() ? 1 : 0];
+    const std::size_t width = Width(pool, set_);
+    if (width == 0) return false;
+    double best = Slow(pool.InWindow(0));
+    for (std::size_t i = 1; i < width; ++i) best = std::min(best, Slow(pool.InWindow(i)));
+    const double odds = 1 + Density(held.request_class) / mean_density_.value;
+    return load.answer.value * held.size * best > odds * static_cast<double>(c.aim);
+  }
+
   // Says what is refused on arrival and why; at most once a second and nothing while all is let in.
   void LogAdmission(const Held& held, bool let_in) {
     ++arrived_;
     if (!let_in) ++refused_;
     if (refused_ == 0 || now_ < logged_at_ + kSecond) return;
     const Pool& pool = pools_[held.pool];
-    char text[200];
-    std::snprintf(text, sizeof text,
-                  "admission: %d of %d requests refused; admit %.2f, room %.2f; pressure %.2f aims, "
-                  "least %.2f, target %.2f; %d out at %zu servers",
-                  std::exchange(refused_, 0), std::exchange(arrived_, 0), pool.admit, Room(pool), pool.usual,
-                  pool.unloaded, std::max(Target(pool), LeastTarget(pool)), pool.out, pool.ring.size());
+    char text[240];
+    std::snprintf(
+        text, sizeof text,
+        "admission: %d of %d requests refused, %d as hopeless; admit %.2f, room %.2f; pressure %.2f aims, "
+        "least %.2f, target %.2f; %d out at %zu servers",
+        std::exchange(refused_, 0), std::exchange(arrived_, 0), std::exchange(hopeless_, 0), pool.admit,
+        Room(pool), pool.usual, pool.unloaded, std::max(Target(pool), LeastTarget(pool)), pool.out,
+        pool.ring.size());
     logged_at_ = now_;
     sink_.Log(text);
   }
@@ -369,6 +392,7 @@
     for (ClassLoad& load : load_) load.arriving *= 1 - 1 / kMixMemory;
     load_[own].arriving += load_[own].work.value;
     mean_worth_.Add(Worth(own), kMixMemory);
+    mean_density_.Add(Density(own), kMixMemory);
   }
 
   // The share that the attempts that are out leave room for. Answers tell of an overload late and make it
@@ -780,10 +804,12 @@
   std::vector<ClassLoad> load_;   // by class
   std::map<int, Pace> machines_;  // by kind of machine
   Mean mean_worth_;               // of an arriving request
+  Mean mean_density_;             // the same by unit of its work
   bool hinted_ = false;           // requests carry their expected work
   std::int64_t served_ = 0;       // attempts that succeeded
   int arrived_ = 0;               // requests since the last line of the log ...
   int refused_ = 0;               // ... and what of them was refused on arrival
+  int hopeless_ = 0;              // ... for its own size, not for pressure
   Micros logged_at_ = 0;
   int asks_failed_ = 0;
   bool ask_pending_ = false;
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -572,6 +572,34 @@
   EXPECT_LT(to_s01(5 * kMs), 14);
 }
 
+// Met on every day of a large fleet: a good part of the work was too much for any server within the aim, was
+// tried there all the same and thrown away.
+TEST_F(BalancerTest, WorkThatNoServerDoesInTimeIsRefusedAtOnceWhereWasteIsPriced) {
+  Settings settings = MakeSettings();
+  for (const double price : {0.0, 0.3}) {
+    settings.price_waste = price;
+    Start(settings, 3);
+    int round = 0;
+    const auto arrive = [&](Micros cost) {
+      Request request;
+      const std::string id = "r" + std::to_string(++round);
+      request.id = id;
+      request.budget = 5 * kSec;
+      request.cost = cost;
+      balancer_->OnRequest(now_, request);
+      const Action action = Took()[0];
+      balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, 100 * kMs, true, {}});
+      sink_.Take();
+      return action;
+    };
+    for (int i = 0; i < 50; ++i) EXPECT_EQ(arrive(10 * kMs).kind, Kind::kSend);
+    EXPECT_EQ(arrive(100 * kMs).kind, Kind::kSend);  // about the aim: still worth a try
+    const Action dear = arrive(1000 * kMs);          // ten times that
+    EXPECT_EQ(dear.kind, price > 0 ? Kind::kRefuse : Kind::kSend);
+    EXPECT_GT(dear.time, 0);  // when to come back, or the time there is for the attempt
+  }
+}
+
 TEST_F(BalancerTest, ABusySidecarTakesALongerRunOfTheRing) {
   Settings settings = MakeSettings();
   settings.price_connection = 0.05;
