Let young servers take their turn by credit and size, up to half of what pushes them over

At fault were Choose, where the others won most draws against a newcomer whose credit of one at most then no longer grew, and AcceptYoung, which gave a small server as much as a large one and no more than a bare share of what is served, though a server falls only over three times its capacity.

Now a young server with credit and nothing out is taken first for requests of usual size or less; credit grows by listed size and by half of rules.overload_factor. Together all sidecars send it at most that half, if those served take all that they can; the rest is for chance.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -629,6 +629,17 @@
     const Pool& pool = pools_[pools_[held.pool].ring.empty() ? 1 - held.pool : held.pool];
     const std::size_t width = Width(pool, set_);
     if (width == 0) return nullptr;
+    // A young server whose turn has come by its credit, and that does not cost the request its aim: left to
+    // the draws, others win most turns and newcomers stand idle while those that stay are overloaded.
+    if (held.size <= 1) {
+      const std::size_t first = static_cast<std::size_t>(served_) % width;
+      for (std::size_t i = 0; i < width; ++i) {
+        Server& server = pool.InWindow((first + i) % width);
+        if (Warmth(server) < 1 && server.out == 0 && !Away(server) && MayUse(held, server) &&
+            AcceptYoung(server) && !Refuses(held, server) && !Fails(held, server))
+          return &server;
+      }
+    }
     Server* best = nullptr;
     double room = 0;
     for (std::size_t i = 0; i < width; ++i) room += Pull(pool.InWindow(i));
@@ -655,9 +666,8 @@
   }
 
   // How much of the work a server should draw: its size, as far as it is told, by how fast it takes work.
-  double Pull(const Server& server) const {
-    return std::max(server.info.weight, kLeastWeight) / std::max(Slow(server), kLeastWeight);
-  }
+  double Pull(const Server& server) const { return Size(server) / std::max(Slow(server), kLeastWeight); }
+  static double Size(const Server& server) { return std::max(server.info.weight, kLeastWeight); }
 
   // Chance by size and pace. Guards against small servers that get as much as large ones: two draws alike for
   // all send the smallest of three still a ninth, which is more than they can do.
@@ -704,15 +714,20 @@
     return set_.cold_share + (1 - set_.cold_share) * grown;
   }
 
-  // A young server is sent its share of what this sidecar is *served* by a server on average. Counting
-  // answers and not sends guards against an overload, where sends and retries together exceed what a server
-  // can do many times, and against an idle newcomer that every sidecar prefers at once.
+  // A young server is sent its share by size of what this sidecar is *served*, as far as it is warm, times
+  // half of what would push it over: a server that is served well takes its share and more, and the other
+  // half is for chance and for what other sidecars do. Counting answers and not sends guards against an
+  // overload, where sends and retries together exceed what a server can do many times, and against an idle
+  // newcomer that every sidecar prefers at once.
   bool AcceptYoung(Server& server) {
     const double warmth = Warmth(server);
     if (warmth >= 1) return true;
-    const double served_each = static_cast<double>(served_ - server.served_then) /
-                               static_cast<double>(Width(pools_[server.pool], set_));
-    server.young_credit = std::min(1.0, server.young_credit + warmth * served_each);
+    const Pool& pool = pools_[server.pool];
+    const std::size_t width = Width(pool, set_);
+    double all = 0;
+    for (std::size_t i = 0; i < width; ++i) all += Size(pool.InWindow(i));
+    const double served = static_cast<double>(served_ - server.served_then) * Size(server) / all;
+    server.young_credit = std::min(1.0, server.young_credit + set_.overload_factor / 2 * warmth * served);
     server.served_then = served_;
     return server.young_credit >= 1;
   }
