Open a door for operators with readiness and figures

Design: Management (its own files) accepts on mgmt / $EDGE_MGMT, one call to a connection, at most eight connections of which the oldest makes room; it knows HTTP and paths alone and asks the sidecar. Counters is the one place that counts requests by class and attempts written whole; /ops/stats and the log read it. Without mgmt nothing is opened. Not taken: a path on the clients' address (an operator would queue behind clients, and clients could reach it), and counters in Inbound and Upstream each (two sums that drift).

A request there is no memory to hear is counted as refused; faulty peers' requests are in no figure.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -213,7 +213,8 @@
   void OnProbed(Micros now, const ProbeResult& probe);
   void OnPeerMessage(Micros now, std::uint32_t sender, std::string_view bytes);
 
-  std::size_t requests_held() const;  // records kept, ended ones with an attempt still out included
+  std::size_t servers_avoided(Micros now);  // of those listed, how many get nothing now by its own choice
+  std::size_t requests_held() const;        // records kept, ended ones with an attempt still out included
 
  private:
   class State;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -85,14 +85,23 @@
   config.memory = static_cast<std::size_t>(megabytes * (1 << 20));
 }
 
-Config FromJson(const Json& json, const std::string& listen, const std::string& discovery) {
+std::vector<std::string> ClassNames(const Json& settings) {
+  std::vector<std::string> names;
+  for (const Json& grade : settings.at("grades")) names.push_back(grade.at("name").get<std::string>());
+  return names;
+}
+
+Config FromJson(const Json& json, const Overrides& overrides) {
   Config config;
   config.name = json.value("name", std::string());
-  config.listen = Address(json, "listen", listen);
-  config.discovery = Address(json, "discovery", discovery);
+  config.listen = Address(json, "listen", overrides.listen);
+  config.discovery = Address(json, "discovery", overrides.discovery);
+  if (!overrides.management.empty() || (json.contains("mgmt") && !json.at("mgmt").is_null()))
+    config.management = Address(json, "mgmt", overrides.management);
   config.seed = Seed(json);
   TakeLimits(json, config);
   config.wire = drill::ParseSettings(Flatten(json.at("settings")));
+  config.class_names = ClassNames(json.at("settings"));
   config.known = Known(json, config.wire);
   return config;
 }
@@ -132,9 +141,9 @@
   return out;
 }
 
-Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery) {
+Config ParseConfig(const std::string& text, const Overrides& overrides) {
   try {
-    return FromJson(Json::parse(text), listen, discovery);
+    return FromJson(Json::parse(text), overrides);
   } catch (const Json::exception& error) {
     throw ConfigError(OneLine(error.what()));
   } catch (const drill::WireError& error) {
@@ -143,12 +152,14 @@
 }
 
 Config LoadConfig(const Environment& environment) {
-  return ParseConfig(ReadFile(environment), Value(environment, "EDGE_LISTEN"),
-                     Value(environment, "EDGE_DISCOVERY"));
+  return ParseConfig(ReadFile(environment),
+                     {Value(environment, "EDGE_LISTEN"), Value(environment, "EDGE_DISCOVERY"),
+                      Value(environment, "EDGE_MGMT")});
 }
 
 Config ReloadConfig(const Environment& environment) {
-  return ParseConfig(ReadFile(environment), Value(environment, "EDGE_LISTEN"), "");
+  return ParseConfig(ReadFile(environment),
+                     {Value(environment, "EDGE_LISTEN"), "", Value(environment, "EDGE_MGMT")});
 }
 
 }  // namespace merlinrun::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -5,8 +5,11 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <stdexcept>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "discovery.hpp"
 #include "protocol.hpp"
@@ -26,6 +29,8 @@
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;                  // descriptors that the process may hold
   std::size_t memory = std::size_t{64} << 20;  // bytes that it may use
+  std::optional<Tcp::endpoint> management;     // the operators' door; none if it is not configured
+  std::vector<std::string> class_names;        // as the settings have them, by index
   drill::WireSettings wire;
   EndpointList known;  // the list as this sidecar last had it
 };
@@ -36,7 +41,14 @@
 // As the wire writes names: no spaces and no commas.
 std::string WireName(std::string_view name);
 
-Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery);
+// What the environment says instead of the file; empty = nothing.
+struct Overrides {
+  std::string listen;
+  std::string discovery;
+  std::string management;
+};
+
+Config ParseConfig(const std::string& text, const Overrides& overrides = {});
 
 using Environment = std::function<const char*(const char*)>;
 
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -202,8 +202,10 @@
     // Twice: the request is copied when it is sent on.
     const std::size_t size =
         parser.chunked() ? kMostBody : static_cast<std::size_t>(parser.content_length().value_or(0));
-    if (!charge_.Take(owner_.budget_, 2 * size))
+    if (!charge_.Take(owner_.budget_, 2 * size)) {
+      if (owner_.events_.on_turned_away) owner_.events_.on_turned_away(parser.get());
       return Reject({http::status::service_unavailable, "out of memory for requests\n"}), false;
+    }
     parser.eager(true);
     return true;
   }
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -37,6 +37,8 @@
     // The request is answered by one call of Respond or Reject, from in here or later.
     std::function<void(const SessionPtr&, HttpRequest)> on_request;
     std::function<void(const std::string& request)> on_gone;  // the client left during its request
+    // A request that would be in order, but that there is no memory for: it has been refused.
+    std::function<void(const RequestHeader&)> on_turned_away;
     std::function<bool()> ready;
   };
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdio>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
@@ -122,7 +123,8 @@
       config_(std::move(config)),
       clock_offset_(ClockOffset()),
       budget_(config_.memory / kBudgetShare),
-      upstream_(io, UpstreamLimits(config_), budget_),
+      counters_(config_.wire.settings.classes.size()),
+      upstream_(io, UpstreamLimits(config_), budget_, counters_),
       discovery_(io, config_.discovery, config_.wire, DiscoveryTiming(config_), config_.seed,
                  {[this](const EndpointList& list) {
                     OnList(list.whole ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
@@ -143,10 +145,18 @@
     OnRequest(session, std::move(request));
   };
   events.on_gone = [this](const std::string& id) { OnClientGone(id); };
-  events.ready = [this] { return upstream_.any_server(); };
+  events.on_turned_away = [this](const RequestHeader& header) { OnTurnedAway(header); };
+  events.ready = [this] { return Ready(); };
   Inbound::Limits limits;
   limits.sessions = ClientSockets(config_);
   inbound_ = std::make_unique<Inbound>(io_, config_.listen, limits, budget_, events);
+  if (config_.management) {
+    Management::Calls calls;
+    calls.ready = [this] { return Ready(); };
+    calls.stats = [this] { return Figures(); };
+    management_ =
+        std::make_unique<Management>(io_, *config_.management, Management::Limits{}, std::move(calls));
+  }
   OnList(ListUpdate::Kind::kStale, config_.known);
   if (config_.known.endpoints.empty()) generation_ = Discovery::kUnknown;
   if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
@@ -154,6 +164,27 @@
 
 void Sidecar::Reload(const Config& config) { discovery_.Switch(config.discovery); }
 
+// ---- What operators ask ----
+
+bool Sidecar::Ready() const { return drain_end_ == 0 && upstream_.any_server(); }
+
+std::string Sidecar::Figures() {
+  nlohmann::ordered_json figures;
+  const auto by_class = [&](const char* name, std::uint64_t Counters::Class::*count) {
+    nlohmann::ordered_json& counts = figures[name] = nlohmann::ordered_json::object();
+    for (std::size_t i = 0; i < config_.class_names.size(); ++i)
+      counts[config_.class_names[i]] = counters_.classes()[i].*count;
+  };
+  by_class("passed", &Counters::Class::served);
+  by_class("dropped", &Counters::Class::refused);
+  by_class("bad_gateway", &Counters::Class::failed);
+  figures["upstream_tries"] = counters_.attempts();
+  figures["in_progress"] = counters_.open();
+  figures["known_servers"] = upstream_.known_servers();
+  figures["skipped_servers"] = balancer_->servers_avoided(Now());
+  return figures.dump() + "\n";
+}
+
 // ---- The clock and the list ----
 
 Micros Sidecar::Now() const {
@@ -201,7 +232,6 @@
 void Sidecar::OnRequest(const Inbound::SessionPtr& session, HttpRequest request) {
   const std::string id(View(request[kIdHeader]));
   const int request_class = ClassIndex(View(request[kClassHeader]));
-  ++requests_;
   if (const auto fault = Check(request, request_class)) {
     Note(fault->text);
     return Inbound::Reject(session, *fault);
@@ -209,7 +239,9 @@
   const Micros now = Now();
   const Micros budget = BudgetOf(request, request_class);
 
+  counters_.Take(static_cast<std::size_t>(request_class));
   Call& call = calls_[id];
+  call.request_class = static_cast<std::size_t>(request_class);
   call.request = std::move(request);
   call.session = session;
   call.deadline = now + budget;
@@ -234,7 +266,8 @@
 void Sidecar::OnClientGone(const std::string& id) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
-  it->second.session = nullptr;
+  if (std::exchange(it->second.session, nullptr) != nullptr)
+    counters_.Finish(it->second.request_class, Counters::End::kClientGone);
   Note("left by the client");
   balancer_->OnClientGone(Now(), id);
   EraseIfOver(id);
@@ -248,7 +281,7 @@
     if (const auto type = answer.response[http::field::content_type]; !type.empty())
       response.set(http::field::content_type, type);
     response.body() = std::move(answer.response.body());
-    Answer(it->second, std::move(response), std::move(answer.charge));
+    Answer(it->second, Counters::End::kServed, std::move(response), std::move(answer.charge));
   }
   Conclude(id, attempt, answer.result, answer.load);
 }
@@ -272,7 +305,17 @@
   EraseIfOver(id);
 }
 
-void Sidecar::Answer(Call& call, HttpResponse response, Charge charge) {
+// A usual request that there was no room to hear: refused, and counted as such.
+void Sidecar::OnTurnedAway(const RequestHeader& header) {
+  const int request_class = ClassIndex(View(header[kClassHeader]));
+  Note("out of memory for requests");
+  if (request_class < 0) return;
+  counters_.Take(static_cast<std::size_t>(request_class));
+  counters_.Finish(static_cast<std::size_t>(request_class), Counters::End::kRefused);
+}
+
+void Sidecar::Answer(Call& call, Counters::End end, HttpResponse response, Charge charge) {
+  counters_.Finish(call.request_class, end);
   Inbound::Respond(std::exchange(call.session, nullptr), std::move(response), std::move(charge));
 }
 
@@ -293,7 +336,9 @@
     kinds += kinds.empty() ? "" : ", ";
     kinds.append(why).append(" ").append(std::to_string(count));
   }
-  std::fprintf(stderr, "answers: requests %d, in work %zu; %s\n", std::exchange(requests_, 0), calls_.size(),
+  const std::uint64_t taken = counters_.taken();
+  std::fprintf(stderr, "answers: requests %llu, in work %zu; %s\n",
+               static_cast<unsigned long long>(taken - std::exchange(logged_, taken)), counters_.open(),
                kinds.c_str());
   noted_.clear();
 }
@@ -324,7 +369,7 @@
   if (now >= it->second.deadline && it->second.session != nullptr) {
     // The module ends requests before this. Guards against a client that gets no answer should it not.
     Note("out of time");
-    Answer(it->second, Plain(http::status::gateway_timeout, "out of time\n"));
+    Answer(it->second, Counters::End::kFailed, Plain(http::status::gateway_timeout, "out of time\n"));
     balancer_->OnClientGone(now, id);
     return EraseIfOver(id);
   }
@@ -404,7 +449,7 @@
   Note(it->second.attempts.empty() ? "refused unsent" : "refused after attempts");
   HttpResponse response = Plain(http::status::service_unavailable, "refused\n");
   if (retry_after > 0) response.set(http::field::retry_after, Seconds(retry_after));
-  Answer(it->second, std::move(response));
+  Answer(it->second, Counters::End::kRefused, std::move(response));
 }
 
 void Sidecar::Fail(std::string_view request) {
@@ -412,7 +457,7 @@
   if (it == calls_.end() || it->second.session == nullptr) return;
   const auto& attempts = it->second.attempts;
   Note(FailedAfter(attempts.empty() ? Result::kNeverSent : attempts.back().result));
-  Answer(it->second, Plain(http::status::bad_gateway, "failed\n"));
+  Answer(it->second, Counters::End::kFailed, Plain(http::status::bad_gateway, "failed\n"));
 }
 
 void Sidecar::SetTimer(Micros delay, std::uint64_t token) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -16,8 +16,10 @@
 
 #include "budget.hpp"
 #include "config.hpp"
+#include "counters.hpp"
 #include "discovery.hpp"
 #include "inbound.hpp"
+#include "management.hpp"
 #include "merlinrun/balancer.hpp"
 #include "upstream.hpp"
 
@@ -40,6 +42,11 @@
   void Drain(std::function<void()> finished);
 
   Tcp::endpoint address() const { return inbound_->address(); }
+  // The operators' door; its address is all zeros if none is configured.
+  Tcp::endpoint management_address() const {
+    return management_ == nullptr ? Tcp::endpoint() : management_->address();
+  }
+  const Counters& counters() const { return counters_; }
   std::size_t requests_held() const { return calls_.size(); }
   std::size_t upstream_connections() const { return upstream_.open_connections(); }
 
@@ -55,7 +62,8 @@
   struct Call {
     HttpRequest request;
     Inbound::SessionPtr session;  // null once it has been answered or its client has gone
-    Micros deadline = 0;          // the final answer is owed before
+    std::size_t request_class = 0;
+    Micros deadline = 0;  // the final answer is owed before
     std::vector<Attempt> attempts;
     std::unique_ptr<asio::steady_timer> timer;
 
@@ -79,7 +87,10 @@
   void OnClientGone(const std::string& id);
   void OnAnswer(const std::string& id, int attempt, UpstreamAnswer answer);
   void Conclude(const std::string& id, int attempt, Result result, const LoadReport& load = {});
-  void Answer(Call& call, HttpResponse response, Charge charge = {});
+  bool Ready() const;
+  std::string Figures();
+  void OnTurnedAway(const RequestHeader& header);
+  void Answer(Call& call, Counters::End end, HttpResponse response, Charge charge = {});
   // Counts a final answer that is no success, for the log. `why` must be a constant.
   void Note(const char* why);
   void LogAnswers();
@@ -99,16 +110,18 @@
   const Config config_;
   const Micros clock_offset_;
   Budget budget_;  // before all that takes of it
+  Counters counters_;
   std::unique_ptr<Balancer> balancer_;
   Upstream upstream_;
   Discovery discovery_;
   std::unique_ptr<Inbound> inbound_;
+  std::unique_ptr<Management> management_;
   Calls calls_;
   std::int64_t generation_ = 0;
   asio::steady_timer drain_timer_;
   asio::steady_timer log_timer_;
   std::map<std::string_view, int> noted_;  // since the last line of the log, by reason
-  int requests_ = 0;                       // taken since then
+  std::uint64_t logged_ = 0;               // requests taken until then
   std::function<void()> finished_;
   Micros drain_end_ = 0;  // 0 while it does not drain
   bool closing_ = false;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -164,6 +164,7 @@
   void OnWritten(ErrorCode error) {
     writing_ = false;
     request_ = {};
+    if (!error) pool_.counters_.CountAttempt();  // also of one that has been given up meanwhile
     if (closed_) return;
     whole_ = !error;
     // An unfinished request is one that no server begins.
@@ -300,8 +301,8 @@
   bool closed_ = false;
 };
 
-Upstream::Upstream(asio::io_context& io, Limits limits, Budget& budget)
-    : io_(io), limits_(limits), budget_(budget), sweep_(io), log_(io) {}
+Upstream::Upstream(asio::io_context& io, Limits limits, Budget& budget, Counters& counters)
+    : io_(io), limits_(limits), budget_(budget), counters_(counters), sweep_(io), log_(io) {}
 
 Upstream::~Upstream() {
   for (const auto& [id, connection] : attempts_)
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "budget.hpp"
+#include "counters.hpp"
 #include "discovery.hpp"
 #include "idle.hpp"
 #include "merlinrun/balancer.hpp"
@@ -39,7 +40,7 @@
     std::size_t connections = 512;
   };
 
-  Upstream(asio::io_context& io, Limits limits, Budget& budget);
+  Upstream(asio::io_context& io, Limits limits, Budget& budget, Counters& counters);
   ~Upstream();
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -69,6 +70,7 @@
   };
 
   bool any_server() const { return !servers_.empty(); }
+  std::size_t known_servers() const { return servers_.size(); }  // listed ones, those that drain included
   std::size_t open_connections() const { return open_; }
 
  private:
@@ -90,6 +92,7 @@
   asio::io_context& io_;
   const Limits limits_;
   Budget& budget_;
+  Counters& counters_;
   IdleLimit idle_limit_;
   asio::steady_timer sweep_;
   bool sweeping_ = false;
--- a/src/net/validate.cpp
+++ b/src/net/validate.cpp
@@ -69,11 +69,13 @@
   return value;
 }
 
+bool HasClearFraming(const RequestHeader& header) { return OneFraming(header, header.version()); }
+
 std::optional<Fault> CheckRequest(const RequestHeader& header) {
   const auto bad = [](const char* text) { return Fault{http::status::bad_request, text}; };
   if (static_cast<std::size_t>(std::distance(header.begin(), header.end())) > kMostFields)
     return Fault{http::status::request_header_fields_too_large, "too many header fields\n"};
-  if (!OneFraming(header, header.version())) return bad("the body's length is in doubt\n");
+  if (!HasClearFraming(header)) return bad("the body's length is in doubt\n");
   const auto length = View(header[http::field::content_length]);
   if (ParseDecimal(length).value_or(0) > static_cast<double>(kMostBody))
     return Fault{http::status::payload_too_large, "too large\n"};
--- a/src/net/validate.hpp
+++ b/src/net/validate.hpp
@@ -24,6 +24,9 @@
 // A request's framing and the form of its fields, whatever it asks for.
 std::optional<Fault> CheckRequest(const RequestHeader& header);
 
+// False if a message's length could be read in two ways.
+bool HasClearFraming(const RequestHeader& header);
+
 // That a request is what its class says: method and key follow from whether it may be repeated.
 std::optional<Fault> CheckAgainstClass(const RequestHeader& header, Repeat repeat);
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -284,6 +284,12 @@
 
   std::size_t size() const { return held_.size(); }
 
+  std::size_t Avoided() const {
+    return static_cast<std::size_t>(
+        std::count_if(servers_.begin(), servers_.end(),
+                      [this](const auto& entry) { return entry.second.listed && Away(entry.second); }));
+  }
+
  private:
   using HeldIt = std::unordered_map<std::string, Held>::iterator;
   static constexpr std::uint64_t kAskToken = 0;
@@ -882,6 +888,10 @@
 }
 void Balancer::OnProbed(Micros now, const ProbeResult&) { state_->Advance(now); }
 void Balancer::OnPeerMessage(Micros now, std::uint32_t, std::string_view) { state_->Advance(now); }
+std::size_t Balancer::servers_avoided(Micros now) {
+  state_->Advance(now);
+  return state_->Avoided();
+}
 std::size_t Balancer::requests_held() const { return state_->size(); }
 
 }  // namespace merlinrun
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -23,7 +23,7 @@
 
 TEST(Config, ReadsAllThatASidecarIsTold) {
   const Tcp::endpoint at(asio::ip::make_address("127.0.0.1"), 81);
-  const Config config = ParseConfig(ConfigJson(at, {Entry("s1", at)}).dump(), "127.0.0.2:80", "");
+  const Config config = ParseConfig(ConfigJson(at, {Entry("s1", at)}).dump(), {"127.0.0.2:80", "", ""});
   EXPECT_EQ(Text(config.listen), "127.0.0.2:80");  // the environment's
   EXPECT_EQ(Text(config.discovery), "127.0.0.1:81");
   EXPECT_EQ(config.seed, 0x8c1f30d27a5be964U);
@@ -32,10 +32,21 @@
   EXPECT_EQ(config.wire.settings.classes[2].repeat, Repeat::kNever);
   EXPECT_EQ(config.wire.settings.dial_timeout, 250'000);
   EXPECT_EQ(config.wire.settings.zone, 0);
+  EXPECT_EQ(config.class_names, (std::vector<std::string>{"look", "pay", "port"}));
+  EXPECT_FALSE(config.management);
   ASSERT_EQ(config.known.endpoints.size(), 1U);
   EXPECT_EQ(config.known.endpoints[0].address, at);
 }
 
+TEST(Config, TheDoorsAddressIsTheEnvironmentsOrTheFiles) {
+  const Tcp::endpoint at(asio::ip::make_address("127.0.0.1"), 81);
+  Json json = ConfigJson(at, {});
+  EXPECT_EQ(Text(ParseConfig(json.dump(), {"", "", "127.0.0.3:82"}).management.value()), "127.0.0.3:82");
+  json["mgmt"] = "127.0.0.4:83";
+  EXPECT_EQ(Text(ParseConfig(json.dump()).management.value()), "127.0.0.4:83");
+  EXPECT_EQ(Text(ParseConfig(json.dump(), {"", "", "127.0.0.3:82"}).management.value()), "127.0.0.3:82");
+}
+
 TEST(Config, SaysWhatIsWrongInOneLine) {
   const Tcp::endpoint at(asio::ip::make_address("127.0.0.1"), 81);
   std::vector<std::string> texts = {"", "{", "[]", "{}"};
@@ -47,13 +58,15 @@
   spoil("/listen", "nowhere");
   spoil("/discovery", 7);
   spoil("/seed", "xyz");
+  spoil("/mgmt", "nowhere");
+  spoil("/mgmt", 7);
   spoil("/limits/sockets", 3);
   spoil("/settings/grades/0/repeat", "sometimes");
   spoil("/settings/quantum_us", "soon");
   spoil("/known/instances/0/lifecycle", "unsure");
   for (const std::string& text : texts) {
     try {
-      ParseConfig(text, "", "");
+      ParseConfig(text);
       ADD_FAILURE() << "taken: " << text;
     } catch (const ConfigError& error) {
       EXPECT_EQ(std::string(error.what()).find('\n'), std::string::npos);
--- /dev/null
+++ b/tests/net/management_test.cpp
@@ -0,0 +1,84 @@
+// The operators' door: what it answers, whatever is sent to it, and that it stays a door.
+#include "net/management.hpp"
+
+#include "loopback.hpp"
+
+namespace merlinrun::net {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+
+class ManagementTest : public ::testing::Test {
+ protected:
+  void Start() {
+    Management::Calls calls;
+    calls.ready = [this] { return ready; };
+    calls.stats = [] { return std::string("{}\n"); };
+    door = std::make_unique<Management>(io, Loopback(), limits, std::move(calls));
+  }
+  std::shared_ptr<Peer> Caller(const std::string& text = "") {
+    auto caller = Connect(io, door->address());
+    if (!text.empty()) caller->Write(text);
+    return caller;
+  }
+  // The status of the answer, once the connection has ended; empty if there is none.
+  std::string Call(const std::string& text) {
+    auto caller = Caller(text);
+    EXPECT_TRUE(RunUntil(io, [&] { return caller->ended; })) << text;
+    return caller->requests() > 0 ? caller->received.substr(9, 3) : "";
+  }
+
+  asio::io_context io;
+  Management::Limits limits;
+  bool ready = true;
+  std::unique_ptr<Management> door;
+};
+
+TEST_F(ManagementTest, AnswersAndClosesTheConnection) {
+  Start();
+  EXPECT_EQ(Call("GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n"), "200");
+  ready = false;
+  EXPECT_EQ(Call("GET /ops/readiness HTTP/1.1\r\n\r\n"), "503");
+  auto caller = Caller("GET /ops/stats HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(RunUntil(io, [&] { return caller->ended; }));
+  EXPECT_NE(caller->received.find("Content-Type: application/json\r\n"), std::string::npos);
+  EXPECT_NE(caller->received.find("Connection: close\r\n"), std::string::npos);
+  EXPECT_EQ(caller->received.substr(caller->received.find("\r\n\r\n") + 4), "{}\n");
+}
+
+TEST_F(ManagementTest, TurnsAwayWhatItDoesNotKnow) {
+  Start();
+  EXPECT_EQ(Call("GET /ops/nothing HTTP/1.1\r\n\r\n"), "404");
+  EXPECT_EQ(Call("GET /api HTTP/1.1\r\nReq-Id: r1\r\n\r\n"), "404");
+  EXPECT_EQ(Call("POST /ops/stats HTTP/1.1\r\nContent-Length: 0\r\n\r\n"), "405");
+  EXPECT_EQ(Call("DELETE /ops/readiness HTTP/1.1\r\n\r\n"), "405");
+  EXPECT_EQ(Call("no HTTP at all\r\n\r\n"), "400");
+  EXPECT_EQ(Call("GET /ops/stats HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"), "400");
+  EXPECT_EQ(Call("GET /ops/stats HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n"), "431");
+}
+
+TEST_F(ManagementTest, AHeadRequestGetsNoBody) {
+  Start();
+  auto caller = Caller("HEAD /ops/stats HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(RunUntil(io, [&] { return caller->ended; }));
+  EXPECT_EQ(caller->received.substr(9, 3), "405");
+  EXPECT_EQ(caller->received.find("\r\n\r\n"), caller->received.size() - 4);
+}
+
+TEST_F(ManagementTest, CallersThatFinishNoCallKeepNobodyOut) {
+  limits.head = 60'000'000;
+  Start();
+  std::vector<std::shared_ptr<Peer>> idle;
+  for (int i = 0; i < 30; ++i) idle.push_back(Caller(i % 2 == 0 ? "" : "GET /ops/st"));
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(Call("GET /ops/readiness HTTP/1.1\r\n\r\n"), "200");
+}
+
+TEST_F(ManagementTest, ASilentCallerIsClosedInTime) {
+  limits.head = 100'000;
+  Start();
+  EXPECT_EQ(Call(""), "");
+  EXPECT_EQ(Call("GET /ops/st"), "");
+}
+
+}  // namespace
+}  // namespace merlinrun::net
--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -25,8 +25,9 @@
              const std::function<void(nlohmann::json&)>& change) {
     nlohmann::json json = ConfigJson(discovery.address, instances);
     change(json);
-    Config config = ParseConfig(json.dump(), "", "");
+    Config config = ParseConfig(json.dump());
     config.listen = Loopback();
+    if (config.management) config.management = Loopback();
     sidecar = std::make_unique<Sidecar>(io, std::move(config));
     sidecar->Start();
     ASSERT_TRUE(RunUntil(io, [&] { return watching != nullptr; }));
@@ -389,6 +390,52 @@
   EXPECT_FALSE(clients.back()->ended);
 }
 
+// The figures that operators read, against what clients and servers saw.
+TEST_F(SidecarTest, FiguresAddUpToWhatClientsAndServersSaw) {
+  std::vector<Peer*> held;
+  ScriptedServer server(io, [&](Peer& peer) {
+    const std::size_t at = peer.received.rfind("Req-Id: ") + 8;
+    const std::string id = peer.received.substr(at, peer.received.find('\r', at) - at);
+    if (id[0] == 'h') return held.push_back(&peer);
+    if (id[0] == 'e') return peer.Write(Reply("500 Internal Server Error", ""));
+    if (id[0] == 'f') return peer.Write(Reply("503 Service Unavailable", "", "Srv-Declined: 1\r\n"));
+    peer.Write(Reply("200 OK", "ok"));
+  });
+  Start({Entry("s1", server.address), Entry("s2", server.address, "draining")}, [](nlohmann::json& json) {
+    json["mgmt"] = "127.0.0.1:1";
+    json["settings"]["grades"][0]["name"] = "lo\"ok, \xc3\xa9";
+  });
+  const auto get = [](const std::string& id) {
+    return "GET /api HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: lo\"ok, \xc3\xa9\r\n\r\n";
+  };
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(Ask(get("a" + std::to_string(i))), "200");
+  EXPECT_EQ(Ask(Post("port", "e1")), "502");
+  EXPECT_EQ(Ask(Post("port", "f1")), "503");
+  EXPECT_EQ(Ask("GET /api HTTP/1.1\r\nReq-Id: x\r\nReq-Kind: none\r\n\r\n"), "404");
+  EXPECT_EQ(Ask("GET /ops/stats HTTP/1.1\r\nReq-Id: x\r\n\r\n"), "404");  // the door has its own address
+  auto leaving = Client(get("h1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return held.size() == 1; }));
+  leaving->Close();
+  auto waiting = Client(get("h2"));
+  ASSERT_TRUE(RunUntil(io, [&] { return held.size() == 2 && sidecar->counters().open() == 1; }));
+
+  auto caller = Connect(io, sidecar->management_address());
+  caller->Write("GET /ops/stats HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(RunUntil(io, [&] { return caller->ended; }));
+  const auto figures = nlohmann::json::parse(caller->received.substr(caller->received.find("\r\n\r\n") + 4));
+  const std::string look = "lo\"ok, \xc3\xa9";
+  EXPECT_EQ(figures.at("passed"), nlohmann::json({{look, 3}, {"pay", 0}, {"port", 0}}));
+  EXPECT_EQ(figures.at("dropped"), nlohmann::json({{look, 0}, {"pay", 0}, {"port", 1}}));
+  EXPECT_EQ(figures.at("bad_gateway"), nlohmann::json({{look, 0}, {"pay", 0}, {"port", 1}}));
+  EXPECT_EQ(figures.at("upstream_tries"), server.requests());
+  EXPECT_EQ(figures.at("in_progress"), 1);
+  EXPECT_EQ(figures.at("known_servers"), 2);
+  EXPECT_EQ(figures.at("skipped_servers"), 0);
+  EXPECT_EQ(figures.size(), 7U);
+  for (const auto& counts : sidecar->counters().classes())
+    EXPECT_EQ(counts.taken, counts.ended() + (&counts == &sidecar->counters().classes()[0] ? 1 : 0));
+}
+
 TEST_F(SidecarTest, ADrainTakesWhatStillComesAndFinishesWhatIsHeld) {
   ScriptedServer server(io);
   Start({Entry("s1", server.address)});
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -16,7 +16,7 @@
   }
 
   Upstream& upstream() {
-    if (upstream_ == nullptr) upstream_ = std::make_unique<Upstream>(io, limits, budget);
+    if (upstream_ == nullptr) upstream_ = std::make_unique<Upstream>(io, limits, budget, counters);
     return *upstream_;
   }
   void Tell(const Tcp::endpoint& address, const std::string& lifecycle = "up", std::int64_t started_ms = 0,
@@ -56,6 +56,7 @@
   asio::io_context io;
   Upstream::Limits limits;
   Budget budget{std::size_t{1} << 20};
+  Counters counters{1};
   std::vector<UpstreamAnswer> answers;
 
  private:
