Take the clients' listener from EDGE_ACCEPT_FD and hand it over at SIGTERM

Design: where $EDGE_ACCEPT_FD is set the listener is taken from it (checked at the start: anything but a listening TCP socket is one line and status 2). At SIGTERM it is released from the reactor and closed, with nothing done to the queue that the next process shares; kept connections get Connection: close with their next answer and are closed once idle for 300 ms. One that takes over asks discovery at once, as news told to its predecessor binds it.

The drain's end took 3 s for the longest deadline whatever the settings told; now theirs.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -83,6 +83,7 @@
   // How the list of servers is followed.
   bool must_subscribe = false;
   Micros ask_within = 0;
+  bool takes_over = false;  // from a process that still serves: what that one was told holds here too
   // The rules.
   Micros drain_grace = 0;
   double cold_share = 1;              // capacity of a server at its start
--- a/src/net/budget.hpp
+++ b/src/net/budget.hpp
@@ -14,10 +14,12 @@
   Budget(const Budget&) = delete;
   Budget& operator=(const Budget&) = delete;
   std::size_t held() const { return held_; }
+  // What is held beyond a lower total is kept until it is given back.
+  void SetMost(std::size_t most) { most_ = most; }
 
  private:
   friend class Charge;
-  const std::size_t most_;
+  std::size_t most_;
   std::size_t held_ = 0;
 };
 
@@ -40,7 +42,7 @@
   // False if the total does not have so much left; nothing is taken then.
   bool Take(Budget& budget, std::size_t size) {
     *this = Charge();
-    if (size > budget.most_ - budget.held_) return false;
+    if (budget.held_ > budget.most_ || size > budget.most_ - budget.held_) return false;
     budget_ = &budget;
     budget_->held_ += size_ = size;
     return true;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,5 +1,7 @@
 #include "config.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -111,6 +113,29 @@
   return text == nullptr ? "" : text;
 }
 
+std::string OneLine(std::string text) {
+  std::replace(text.begin(), text.end(), '\n', ' ');
+  return text;
+}
+
+// Guards against a wrong number: what is no listener would be told only when the first client comes.
+std::optional<int> AcceptFd(const std::string& text) {
+  if (text.empty()) return std::nullopt;
+  int fd = -1;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), fd);
+  if (error != std::errc() || end != text.data() + text.size() || fd < 0)
+    throw ConfigError("EDGE_ACCEPT_FD '" + OneLine(text) + "': not a descriptor's number");
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  sockaddr_storage address{};
+  socklen_t length = sizeof address;
+  if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0 ||
+      ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length) != 0 ||
+      (address.ss_family != AF_INET && address.ss_family != AF_INET6))
+    throw ConfigError("EDGE_ACCEPT_FD " + text + ": not a listening TCP socket");
+  return fd;
+}
+
 std::string ReadFile(const Environment& environment) {
   const std::string path = Value(environment, "EDGE_CONFIG");
   if (path.empty()) throw ConfigError("EDGE_CONFIG: not set");
@@ -120,11 +145,6 @@
   return text.str();
 }
 
-std::string OneLine(std::string text) {
-  std::replace(text.begin(), text.end(), '\n', ' ');
-  return text;
-}
-
 }  // namespace
 
 std::string WireName(std::string_view name) {
@@ -152,9 +172,12 @@
 }
 
 Config LoadConfig(const Environment& environment) {
-  return ParseConfig(ReadFile(environment),
-                     {Value(environment, "EDGE_LISTEN"), Value(environment, "EDGE_DISCOVERY"),
-                      Value(environment, "EDGE_MGMT")});
+  Config config = ParseConfig(ReadFile(environment),
+                              {Value(environment, "EDGE_LISTEN"), Value(environment, "EDGE_DISCOVERY"),
+                               Value(environment, "EDGE_MGMT")});
+  config.accept_fd = AcceptFd(Value(environment, "EDGE_ACCEPT_FD"));
+  config.shared_dir = Value(environment, "TMPDIR");
+  return config;
 }
 
 Config ReloadConfig(const Environment& environment) {
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -30,6 +30,8 @@
   std::size_t sockets = 1024;                  // descriptors that the process may hold
   std::size_t memory = std::size_t{64} << 20;  // bytes that it may use
   std::optional<Tcp::endpoint> management;     // the operators' door; none if it is not configured
+  std::optional<int> accept_fd;                // the clients' listener, if the platform holds it
+  std::string shared_dir;                      // kept over an upgrade; empty = none
   std::vector<std::string> class_names;        // as the settings have them, by index
   drill::WireSettings wire;
   EndpointList known;  // the list as this sidecar last had it
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -1,5 +1,7 @@
 #include "inbound.hpp"
 
+#include <unistd.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -271,13 +273,15 @@
   bool keep_alive_ = true;
 };
 
-Inbound::Inbound(asio::io_context& io, const Tcp::endpoint& address, Limits limits, Budget& budget,
-                 Events events)
+Inbound::Inbound(asio::io_context& io, const Tcp::endpoint& address, std::optional<int> inherited,
+                 Limits limits, Budget& budget, Events events)
     : io_(io),
       limits_(limits),
       budget_(budget),
       events_(std::move(events)),
-      acceptor_(io, address, /*reuse_addr=*/true),
+      inherited_(inherited.has_value()),
+      acceptor_(inherited ? Tcp::acceptor(io, address.protocol(), *inherited)
+                          : Tcp::acceptor(io, address, /*reuse_addr=*/true)),
       address_(acceptor_.local_endpoint()),
       pause_(io),
       sweep_(io) {
@@ -285,6 +289,7 @@
 }
 
 Inbound::~Inbound() {
+  CloseListener();
   for (const SessionPtr& session : sessions_) session->Abandon();
 }
 
@@ -373,7 +378,19 @@
 
 void Inbound::Drain() { draining_ = true; }
 
+// Other processes may hold the same listener: closing a descriptor does not take such a one out of the
+// reactor, which would go on waking up for connections that are no longer its own.
+void Inbound::CloseListener() {
+  if (!acceptor_.is_open()) return;
+  pause_.cancel();
+  ErrorCode error;
+  const auto listener = acceptor_.release(error);
+  if (!error) ::close(listener);
+}
+
 void Inbound::StopAccepting() {
+  // Another process takes what waits in a queue that is shared.
+  if (inherited_) return CloseListener();
   // What has connected may have sent its request: closing the listener on it would reset it unanswered.
   ErrorCode error;
   acceptor_.non_blocking(true, error);
@@ -382,13 +399,18 @@
     acceptor_.accept(socket, error);
     if (!error) Add(std::move(socket));
   }
-  pause_.cancel();
-  acceptor_.close(error);
+  CloseListener();
 }
 
-void Inbound::CloseIdle() {
+void Inbound::CloseIdle(Micros kept, Micros fresh) {
+  const auto now = Clock::now();
   for (const SessionPtr& session : std::vector<SessionPtr>(sessions_.begin(), sessions_.end()))
-    if (session->Idle()) session->Close();
+    if (session->Idle() && session->For(now, session->Silent() ? fresh : kept)) session->Close();
+}
+
+void Inbound::SetMost(std::size_t sessions) {
+  limits_.sessions = sessions;
+  while (sessions_.size() > limits_.sessions && MakeRoom()) continue;
 }
 
 }  // namespace merlinrun::net
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "budget.hpp"
@@ -42,8 +43,10 @@
     std::function<bool()> ready;
   };
 
-  // Throws boost::system::system_error if the address cannot be listened on.
-  Inbound(asio::io_context& io, const Tcp::endpoint& address, Limits limits, Budget& budget, Events events);
+  // Throws boost::system::system_error if the address cannot be listened on. `inherited` is a listener that
+  // other processes may hold too; it is taken in place of the address, and closed at the end.
+  Inbound(asio::io_context& io, const Tcp::endpoint& address, std::optional<int> inherited, Limits limits,
+          Budget& budget, Events events);
   ~Inbound();
   Inbound(const Inbound&) = delete;
   Inbound& operator=(const Inbound&) = delete;
@@ -56,10 +59,13 @@
 
   // From now on each answer closes its connection.
   void Drain();
-  // Accepts what has connected already, then no more.
+  // Accepts what has connected already, then no more; of an inherited listener nothing more at once.
   void StopAccepting();
-  // Closes the connections that are between requests.
-  void CloseIdle();
+  // Closes the connections that have been between requests for so long, and those that have said nothing
+  // since they came for so long.
+  void CloseIdle(Micros kept, Micros fresh);
+  // From now on so many connections at most; closes idle ones beyond that.
+  void SetMost(std::size_t sessions);
 
   std::size_t sessions() const { return sessions_.size(); }
   Tcp::endpoint address() const { return address_; }
@@ -70,13 +76,15 @@
   void Add(Tcp::socket socket);
   bool MakeRoom();
   void Remove(const Session& session);
+  void CloseListener();
   void SweepLater();
   void Sweep();
 
   asio::io_context& io_;
-  const Limits limits_;
+  Limits limits_;
   Budget& budget_;
   const Events events_;
+  const bool inherited_;
   Tcp::acceptor acceptor_;
   Tcp::endpoint address_;
   asio::steady_timer pause_;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -34,12 +34,19 @@
 // loop is late; a short budget gives up no more than this part of itself.
 constexpr Micros kAnswerMargin = 40 * kMs;
 constexpr double kMostMarginShare = 0.2;
-// After SIGTERM: connections still come for up to 0.4 s, and the kill comes no sooner than 3.7 s.
+// After SIGTERM: connections still come for up to 0.4 s.
 constexpr Micros kAcceptAfterDrain = 550 * kMs;
 constexpr Micros kIdleAfterDrain = 150 * kMs;  // and then so long for what was accepted last to speak
-constexpr Micros kMostDrain = 3200 * kMs;
+// The kill comes 0.7 s after the longest deadline, taken as 3 s where it is longer.
+constexpr Micros kMostDeadline = 3 * kSecond;
+constexpr Micros kDrainSlack = 250 * kMs;
+// Of a shared listener the next process takes what comes. A kept connection that has been idle for so long is
+// hardly the one that its client uses next: guards against a close that crosses a request.
+constexpr Micros kIdleAfterTakeover = 300 * kMs;
 constexpr Micros kLastWords = 100 * kMs;  // for the answers given at that moment to be read
 constexpr Micros kDrainPoll = 20 * kMs;
+// How often what is shared with another process is looked at: what it has done holds here within 1 s.
+constexpr auto kLookEvery = std::chrono::milliseconds(200);
 // The log says at most once in so long which answers were no success, and nothing while all are.
 constexpr auto kLogEvery = std::chrono::seconds(1);
 
@@ -121,6 +128,7 @@
 Sidecar::Sidecar(asio::io_context& io, Config config)
     : io_(io),
       config_(std::move(config)),
+      shared_(config_.accept_fd ? config_.shared_dir : ""),
       clock_offset_(ClockOffset()),
       budget_(config_.memory / kBudgetShare),
       counters_(config_.wire.settings.classes.size()),
@@ -131,7 +139,10 @@
                   },
                   [this] { OnDiscoveryFailed(); }}),
       drain_timer_(io),
+      look_timer_(io),
       log_timer_(io) {
+  shared_.ShowPresence();
+  config_.wire.settings.takes_over = shared_.Look().others;
   std::string error;
   balancer_ = Balancer::Create(config_.wire.settings, config_.seed, Now(), *this, error);
   if (balancer_ == nullptr) throw ConfigError("settings: " + error);
@@ -149,7 +160,8 @@
   events.ready = [this] { return Ready(); };
   Inbound::Limits limits;
   limits.sessions = ClientSockets(config_);
-  inbound_ = std::make_unique<Inbound>(io_, config_.listen, limits, budget_, events);
+  inbound_ =
+      std::make_unique<Inbound>(io_, config_.listen, config_.accept_fd, limits, budget_, std::move(events));
   if (config_.management) {
     Management::Calls calls;
     calls.ready = [this] { return Ready(); };
@@ -160,6 +172,7 @@
   OnList(ListUpdate::Kind::kStale, config_.known);
   if (config_.known.endpoints.empty()) generation_ = Discovery::kUnknown;
   if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
+  if (config_.accept_fd) Look();
 }
 
 void Sidecar::Reload(const Config& config) { discovery_.Switch(config.discovery); }
@@ -380,7 +393,6 @@
   const auto it = calls_.find(id);
   if (it == calls_.end() || it->second.session != nullptr || it->second.AnyOut()) return;
   calls_.erase(it);
-  CheckFinished();
 }
 
 // What the protocol names and nothing else: whatever else came along may mean something to a server.
@@ -477,32 +489,65 @@
                text.data());
 }
 
-// ---- The end ----
+// ---- A new version beside this one, and the end ----
+
+void Sidecar::LookLater() {
+  look_timer_.expires_after(kLookEvery);
+  look_timer_.async_wait([this](ErrorCode error) {
+    if (!error) Look();
+  });
+}
+
+// Two processes of one sidecar have one sidecar's memory and descriptors.
+void Sidecar::Look() {
+  const SharedDir::View view = shared_.Look();
+  if (view.others != std::exchange(others_, view.others)) {
+    const std::size_t parts = others_ ? 2 : 1;
+    budget_.SetMost(config_.memory / kBudgetShare / parts);
+    inbound_->SetMost(ClientSockets(config_) / parts);
+    upstream_.SetMost(UpstreamLimits(config_).connections / parts);
+  }
+  LookLater();
+}
 
 void Sidecar::Drain(std::function<void()> finished) {
   if (drain_end_ > 0) return;
   finished_ = std::move(finished);
-  drain_end_ = Now() + kMostDrain;
+  Micros longest = 0;
+  for (const RequestClass& c : config_.wire.settings.classes) longest = std::max(longest, c.deadline);
+  drain_end_ = Now() + (longest > 0 ? std::min(longest, kMostDeadline) : kMostDeadline) + kDrainSlack;
   inbound_->Drain();
+  if (config_.accept_fd) {
+    inbound_->StopAccepting();
+    return WindDown();
+  }
   drain_timer_.expires_after(std::chrono::microseconds(kAcceptAfterDrain));
   drain_timer_.async_wait([this](ErrorCode error) {
     if (error) return;
     inbound_->StopAccepting();
     drain_timer_.expires_after(std::chrono::microseconds(kIdleAfterDrain));
     drain_timer_.async_wait([this](ErrorCode stopped) {
-      if (!stopped) FinishDrain();
+      if (!stopped) WindDown();
     });
   });
 }
 
-void Sidecar::FinishDrain() {
-  closing_ = true;
-  inbound_->CloseIdle();
-  drain_timer_.expires_after(std::chrono::microseconds(std::max<Micros>(drain_end_ - Now(), 0)));
+// Guards against ending with answers still unsent: each session goes when its client has read its answer.
+void Sidecar::WindDown() {
+  const Micros now = Now();
+  const bool over = now >= drain_end_;
+  if (over && !std::exchange(hurried_, true)) HurryCalls();
+  if (over || !config_.accept_fd) {
+    inbound_->CloseIdle(0, 0);
+  } else {
+    inbound_->CloseIdle(kIdleAfterTakeover, Inbound::Limits{}.request);
+  }
+  if (calls_.empty() && (inbound_->sessions() == 0 || now >= drain_end_ + kLastWords))
+    return std::exchange(finished_, nullptr)();
+  drain_timer_.expires_after(std::chrono::microseconds(kDrainPoll));
   drain_timer_.async_wait([this](ErrorCode error) {
-    if (!error) HurryCalls();
+    if (!error) WindDown();
   });
-  CheckFinished();
 }
 
 // Ends what would outlast the time before the kill: an answer now, if only a failure, is better than none.
@@ -516,15 +561,4 @@
   for (const std::string& id : ids) OnDue(id);
 }
 
-// Guards against ending with answers still unsent: each session goes when its client has read its answer.
-void Sidecar::CheckFinished() {
-  if (!closing_ || !calls_.empty() || !finished_) return;
-  if (inbound_->sessions() == 0 || Now() >= drain_end_ + kLastWords)
-    return std::exchange(finished_, nullptr)();
-  drain_timer_.expires_after(std::chrono::microseconds(kDrainPoll));
-  drain_timer_.async_wait([this](ErrorCode error) {
-    if (!error) CheckFinished();
-  });
-}
-
 }  // namespace merlinrun::net
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -21,6 +21,7 @@
 #include "inbound.hpp"
 #include "management.hpp"
 #include "merlinrun/balancer.hpp"
+#include "shared_dir.hpp"
 #include "upstream.hpp"
 
 namespace merlinrun::net {
@@ -38,7 +39,8 @@
   // Follows the discovery of a new configuration; all else stays as it was at the start. The list is kept
   // until the new address has told its own.
   void Reload(const Config& config);
-  // Takes what still comes for a short while, finishes all that it holds, then calls `finished`.
+  // Takes what still comes for a short while (nothing more of a listener that is shared), finishes all that
+  // it holds, then calls `finished`.
   void Drain(std::function<void()> finished);
 
   Tcp::endpoint address() const { return inbound_->address(); }
@@ -102,12 +104,15 @@
   Micros BudgetOf(const HttpRequest& request, int request_class) const;
   int ClassIndex(std::string_view name) const;
   int TenantIndex(std::string_view name) const;
-  void FinishDrain();
+  // Looks at what is shared with another process of this sidecar, again and again.
+  void LookLater();
+  void Look();
+  void WindDown();
   void HurryCalls();
-  void CheckFinished();
 
   asio::io_context& io_;
-  const Config config_;
+  Config config_;
+  SharedDir shared_;
   const Micros clock_offset_;
   Budget budget_;  // before all that takes of it
   Counters counters_;
@@ -119,12 +124,14 @@
   Calls calls_;
   std::int64_t generation_ = 0;
   asio::steady_timer drain_timer_;
+  asio::steady_timer look_timer_;
+  bool others_ = false;  // another process of this sidecar serves
   asio::steady_timer log_timer_;
   std::map<std::string_view, int> noted_;  // since the last line of the log, by reason
   std::uint64_t logged_ = 0;               // requests taken until then
   std::function<void()> finished_;
   Micros drain_end_ = 0;  // 0 while it does not drain
-  bool closing_ = false;
+  bool hurried_ = false;
 };
 
 }  // namespace merlinrun::net
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -415,6 +415,11 @@
   return true;
 }
 
+void Upstream::SetMost(std::size_t connections) {
+  limits_.connections = connections;
+  while (open_ > limits_.connections && MakeRoom()) continue;
+}
+
 void Upstream::Release(const ConnectionPtr& connection) {
   if (!connection->Current()) return connection->Close();
   connection->idle_since = Clock::now();
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -54,6 +54,9 @@
   // Ends an attempt by closing its connection; its `done` is not called any more.
   void GiveUp(AttemptId attempt);
 
+  // From now on so many connections at most; closes idle ones beyond that.
+  void SetMost(std::size_t connections);
+
   // Why attempts ended without an answer that could be read; counted for the log.
   enum class Trouble {
     kNotListed,    // the server drains or is gone
@@ -90,7 +93,7 @@
   void LogTroubles();
 
   asio::io_context& io_;
-  const Limits limits_;
+  Limits limits_;
   Budget& budget_;
   Counters& counters_;
   IdleLimit idle_limit_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -167,7 +167,9 @@
       return;
     }
     if (update.kind == ListUpdate::Kind::kStale) {
-      AskLater(set_.ask_within / 2);  // a fresh start: spread, as all sidecars may have started together
+      // A fresh start: spread, as all sidecars may have started together. One that takes over starts alone,
+      // and news that its predecessor has been told binds it too.
+      AskLater(set_.takes_over ? 0 : set_.ask_within / 2);
     } else {
       asks_failed_ = 0;
     }
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1011,6 +1011,20 @@
   for (const auto& [server, n] : hits) EXPECT_EQ(n, hits["s00"]) << server;
 }
 
+// News that the process before it was told holds for the one that takes over.
+TEST_F(BalancerTest, OneThatTakesOverAsksAtOnce) {
+  Settings settings = MakeSettings();
+  settings.must_subscribe = true;
+  settings.takes_over = true;
+  std::string error;
+  balancer_ = Balancer::Create(settings, 7, now_, sink_, error);
+  List(ListUpdate::Kind::kStale, MakeServers(4));
+  const auto actions = sink_.Take();
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_EQ(actions[0].kind, Kind::kTimer);
+  EXPECT_EQ(actions[0].time, 0);
+}
+
 TEST_F(BalancerTest, AsksDiscoveryAgainAfterAFailureWithinTheTimeStated) {
   Settings settings = MakeSettings();
   settings.must_subscribe = true;
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -1,6 +1,11 @@
 // Configuration: names shared with the adapter's parser, and what is wrong said plainly.
 #include "net/config.hpp"
 
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
 #include "loopback.hpp"
 
 namespace merlinrun::net {
@@ -47,6 +52,35 @@
   EXPECT_EQ(Text(ParseConfig(json.dump(), {"", "", "127.0.0.3:82"}).management.value()), "127.0.0.3:82");
 }
 
+TEST(Config, TakesAnInheritedListenerAndNothingElseForOne) {
+  const Tcp::endpoint at(asio::ip::make_address("127.0.0.1"), 81);
+  char path[] = "/tmp/fennelhollow-config-XXXXXX";
+  ::close(::mkstemp(path));
+  std::ofstream(path) << ConfigJson(at, {}).dump();
+  const auto load = [&](const std::string& fd) {
+    return LoadConfig([&](const char* name) -> const char* {
+      if (std::string(name) == "EDGE_CONFIG") return path;
+      return std::string(name) == "EDGE_ACCEPT_FD" ? fd.c_str() : nullptr;
+    });
+  };
+  asio::io_context io;
+  Tcp::acceptor listener(io, Loopback());
+  Tcp::socket other(io, Tcp::v4());
+  EXPECT_FALSE(load("").accept_fd);
+  EXPECT_EQ(load(std::to_string(listener.native_handle())).accept_fd, listener.native_handle());
+  for (const std::string& wrong :
+       {std::string("seven"), std::string("7x"), std::string("-1"), std::string("100000"), std::string("1e1"),
+        std::to_string(other.native_handle())}) {
+    try {
+      load(wrong);
+      ADD_FAILURE() << "taken: " << wrong;
+    } catch (const ConfigError& error) {
+      EXPECT_EQ(std::string(error.what()).find('\n'), std::string::npos);
+    }
+  }
+  std::remove(path);
+}
+
 TEST(Config, SaysWhatIsWrongInOneLine) {
   const Tcp::endpoint at(asio::ip::make_address("127.0.0.1"), 81);
   std::vector<std::string> texts = {"", "{", "[]", "{}"};
--- a/tests/net/inbound_test.cpp
+++ b/tests/net/inbound_test.cpp
@@ -25,7 +25,7 @@
     };
     events.on_gone = [this](const std::string& id) { gone.push_back(id); };
     events.ready = [] { return true; };
-    inbound = std::make_unique<Inbound>(io, Loopback(), limits, budget, std::move(events));
+    inbound = std::make_unique<Inbound>(io, Loopback(), inherited, limits, budget, std::move(events));
   }
   std::shared_ptr<Peer> Client(const std::string& text = "") {
     auto client = Connect(io, inbound->address());
@@ -43,6 +43,7 @@
 
   asio::io_context io;
   Inbound::Limits limits;
+  std::optional<int> inherited;
   Budget budget{std::size_t{1} << 20};
   std::unique_ptr<Inbound> inbound;
   std::vector<HttpRequest> requests;
@@ -159,6 +160,44 @@
   EXPECT_TRUE(RunUntil(io, [&] { return budget.held() == 0; }));
 }
 
+// Of a listener that another process holds too, closing takes nothing but this process's part.
+TEST_F(InboundTest, AnInheritedListenerIsLetGoWithoutAWordToItsQueue) {
+  Tcp::acceptor held(io, Loopback());
+  const Tcp::endpoint address = held.local_endpoint();
+  inherited = ::dup(held.native_handle());
+  Start();
+  EXPECT_EQ(inbound->address(), address);
+  EXPECT_EQ(Status(*Client(Get("r1"))), "200");
+  const auto waiting = Client(Get("r2"));  // in the queue, as the loop has not run since
+  inbound->StopAccepting();
+  const auto late = Connect(io, address);
+  late->Write(Get("r3"));
+  RunFor(io, 50ms);
+  EXPECT_FALSE(waiting->ended || late->ended);
+  EXPECT_EQ(requests.size(), 1U);
+  const auto before = std::move(inbound);
+  inherited = ::dup(held.native_handle());
+  Start();  // the next process
+  EXPECT_EQ(Status(*waiting), "200");
+  EXPECT_EQ(Status(*late), "200");
+}
+
+TEST_F(InboundTest, WithLessRoomIdleConnectionsAreClosedAndBusyOnesAreNot) {
+  Start();
+  std::vector<std::shared_ptr<Peer>> idle;
+  for (int i = 0; i < 4; ++i) {
+    idle.push_back(Client(Get("r" + std::to_string(i))));
+    EXPECT_EQ(Status(*idle.back()), "200");
+  }
+  answers = false;
+  const auto busy = Client(Get("b1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return requests.size() == 5; }));
+  inbound->SetMost(2);
+  EXPECT_EQ(inbound->sessions(), 2U);
+  EXPECT_TRUE(Ends(*idle[0]) && Ends(*idle[1]) && Ends(*idle[2]));
+  EXPECT_FALSE(busy->ended || idle[3]->ended);
+}
+
 TEST_F(InboundTest, TellsWhichRequestsClientHasGone) {
   answers = false;
   Start();
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 
 #include "loopback.hpp"
@@ -25,11 +26,13 @@
     path = name;
   }
   ~ProgramTest() override {
-    if (pid > 0) {
-      ::kill(pid, SIGKILL);
-      ::waitpid(pid, nullptr, 0);
+    for (const pid_t running : {pid, older}) {
+      if (running <= 0) continue;
+      ::kill(running, SIGKILL);
+      ::waitpid(running, nullptr, 0);
     }
     ::unlink(path.c_str());
+    if (!folder.empty()) std::filesystem::remove_all(folder);
   }
 
   static std::function<void(Peer&)> TellsOf(const nlohmann::json& list) {
@@ -47,16 +50,30 @@
     return json.dump();
   }
   void Start() {
-    const std::string config = "EDGE_CONFIG=" + path;
-    const std::string named = "EDGE_DISCOVERY=" + testing::Text(discovery_.address);
-    const std::vector<const char*> environment = {config.c_str(), named.c_str(), nullptr};
-    const std::vector<const char*> arguments = {FENNELHOLLOW_PROGRAM, nullptr};
-    ASSERT_EQ(::posix_spawn(&pid, FENNELHOLLOW_PROGRAM, nullptr, nullptr,
-                            const_cast<char* const*>(arguments.data()),
-                            const_cast<char* const*>(environment.data())),
-              0);
+    ASSERT_NO_FATAL_FAILURE(Spawn({}, -1));
     ASSERT_TRUE(RunUntil(io, [&] { return !Ask("GET /ready HTTP/1.1\r\n\r\n").empty(); }));
   }
+  // The program with these variables besides, and the listener as descriptor 7 unless it is -1.
+  void Spawn(std::vector<std::string> variables, int listener) {
+    variables.push_back("EDGE_CONFIG=" + path);
+    variables.push_back("EDGE_DISCOVERY=" + testing::Text(discovery_.address));
+    std::vector<const char*> environment;
+    for (const std::string& variable : variables) environment.push_back(variable.c_str());
+    environment.push_back(nullptr);
+    const std::vector<const char*> arguments = {FENNELHOLLOW_PROGRAM, nullptr};
+    posix_spawn_file_actions_t files;
+    ::posix_spawn_file_actions_init(&files);
+    if (listener >= 0) ::posix_spawn_file_actions_adddup2(&files, listener, 7);
+    const int failed =
+        ::posix_spawn(&pid, FENNELHOLLOW_PROGRAM, &files, nullptr, const_cast<char* const*>(arguments.data()),
+                      const_cast<char* const*>(environment.data()));
+    ::posix_spawn_file_actions_destroy(&files);
+    ASSERT_EQ(failed, 0);
+  }
+  std::string MakeFolder() {
+    char name[] = "/tmp/fennelhollow-shared-XXXXXX";
+    return folder = ::mkdtemp(name);
+  }
   // The status of the answer; empty if there is none.
   std::string Ask(const std::string& text) {
     auto client = std::make_shared<Peer>(Tcp::socket(io));
@@ -74,9 +91,38 @@
   ScriptedServer discovery_;
   Tcp::endpoint listen;
   std::string path;
+  std::string folder;
   pid_t pid = 0;
+  pid_t older = 0;  // the process that the other one takes over from
 };
 
+// A new process takes over under load: nobody is turned away, and the old one ends by itself.
+TEST_F(ProgramTest, ANewProcessTakesOverTheListenerAndLosesNoRequest) {
+  ScriptedServer server(io, Serves("ok"));
+  Tcp::acceptor listener(io, listen);
+  Configure(Text(discovery_.address, {Entry("s1", server.address)}));
+  const std::vector<std::string> variables = {"EDGE_ACCEPT_FD=7", "TMPDIR=" + MakeFolder()};
+  int asked = 0;
+  const auto ask = [&] {
+    return Ask("GET /api HTTP/1.1\r\nReq-Id: r" + std::to_string(asked++) + "\r\nReq-Kind: look\r\n\r\n");
+  };
+  ASSERT_NO_FATAL_FAILURE(Spawn(variables, listener.native_handle()));
+  for (int i = 0; i < 20; ++i) ASSERT_EQ(ask(), "200") << asked;
+  older = std::exchange(pid, 0);
+  ASSERT_NO_FATAL_FAILURE(Spawn(variables, listener.native_handle()));
+  for (int i = 0; i < 50; ++i) ASSERT_EQ(ask(), "200") << asked;
+  ::kill(older, SIGTERM);
+  int status = -1;
+  ASSERT_TRUE(RunUntil(io, [&] {
+    EXPECT_EQ(ask(), "200") << asked;
+    return ::waitpid(older, &status, WNOHANG) == older;
+  }));
+  older = 0;
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  for (int i = 0; i < 20; ++i) ASSERT_EQ(ask(), "200") << asked;
+  EXPECT_TRUE(Runs());
+}
+
 // SIGHUP used to end the program. It follows the discovery that the file names now, though EDGE_DISCOVERY
 // still names the old one; a file that makes no sense changes nothing.
 TEST_F(ProgramTest, SighupMakesItFollowTheDiscoveryOfTheNewFile) {
