Let operators take a server out by hand, over restarts and upgrades

Design: POST /ops/servers/down/ID and up/ID. The module takes a ban as an event (OnBan) and alone decides: the server leaves the ring whatever the list says, and put back it counts as started then until the list tells another start than before; what was seen of its old process is forgotten. Upstream closes its idle connections and sends nothing over one that was still dialling. Not taken: telling the other process by a signal or a socket (it may not run yet, and needs the file all the same); a list state of its own (the next list would have to be merged with it).

Also: while two processes live, only idle connections are held to half.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -206,6 +206,9 @@
   Balancer& operator=(const Balancer&) = delete;
 
   void OnServers(Micros now, const ListUpdate& update);
+  // By hand: a server that is out gets nothing new, whatever the list says, until it is put back. It counts
+  // as started then, until the list tells of another start than it did before.
+  void OnBan(Micros now, std::string_view server, bool out);
   void OnRequest(Micros now, const Request& request);
   void OnResponseStarted(Micros now, std::string_view request, int attempt);
   void OnOutcome(Micros now, const Outcome& outcome);
@@ -214,7 +217,7 @@
   void OnProbed(Micros now, const ProbeResult& probe);
   void OnPeerMessage(Micros now, std::uint32_t sender, std::string_view bytes);
 
-  std::size_t servers_avoided(Micros now);  // of those listed, how many get nothing now by its own choice
+  std::size_t servers_avoided(Micros now);  // of those listed, how many get nothing now, by hand or by choice
   std::size_t requests_held() const;        // records kept, ended ones with an attempt still out included
 
  private:
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -323,8 +324,8 @@
 // Accepting never stops for want of room. Guards against usual clients that wait in the backlog behind others
 // for an answer that nobody is there to give.
 void Inbound::Add(Tcp::socket socket) {
-  const bool room =
-      sessions_.size() < limits_.sessions || (MakeRoom() && sessions_.size() < limits_.sessions);
+  if (sessions_.size() >= std::min(limits_.kept, limits_.sessions)) MakeRoom();
+  const bool room = sessions_.size() < limits_.sessions;
   if (sessions_.size() >= limits_.sessions + kMostTurnedAway) return;  // closes it
   ErrorCode error;
   socket.set_option(Tcp::no_delay(true), error);
@@ -408,9 +409,9 @@
     if (session->Idle() && session->For(now, session->Silent() ? fresh : kept)) session->Close();
 }
 
-void Inbound::SetMost(std::size_t sessions) {
-  limits_.sessions = sessions;
-  while (sessions_.size() > limits_.sessions && MakeRoom()) continue;
+void Inbound::KeepAtMost(std::size_t sessions) {
+  limits_.kept = sessions;
+  while (sessions_.size() > limits_.kept && MakeRoom()) continue;
 }
 
 }  // namespace merlinrun::net
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
@@ -24,7 +25,8 @@
   using SessionPtr = std::shared_ptr<Session>;
 
   struct Limits {
-    std::size_t sessions = 256;  // and a few more for as long as it takes to turn them away
+    std::size_t sessions = 256;   // and a few more for as long as it takes to turn them away
+    std::size_t kept = SIZE_MAX;  // beyond so many, idle ones make room for new ones
     // Times, in microseconds. Each counts from a beginning that the client cannot move: what trickles in
     // extends none of them.
     Micros request = 2'000'000;     // from its connection, or on a kept one its first byte, to its last
@@ -64,8 +66,8 @@
   // Closes the connections that have been between requests for so long, and those that have said nothing
   // since they came for so long.
   void CloseIdle(Micros kept, Micros fresh);
-  // From now on so many connections at most; closes idle ones beyond that.
-  void SetMost(std::size_t sessions);
+  // From now on idle connections are kept only where there are no more than so many in all.
+  void KeepAtMost(std::size_t sessions);
 
   std::size_t sessions() const { return sessions_.size(); }
   Tcp::endpoint address() const { return address_; }
--- a/src/net/management.cpp
+++ b/src/net/management.cpp
@@ -19,11 +19,37 @@
 
 constexpr std::string_view kReadinessPath = "/ops/readiness";
 constexpr std::string_view kStatsPath = "/ops/stats";
+constexpr std::string_view kDownPath = "/ops/servers/down/";
+constexpr std::string_view kUpPath = "/ops/servers/up/";
+
+int HexDigit(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+  return -1;
+}
 
 Management::Reply Say(http::status status, const char* text) { return {status, text}; }
 
 }  // namespace
 
+std::optional<std::string> PercentDecoded(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%') {
+      out.push_back(text[i]);
+      continue;
+    }
+    if (i + 2 >= text.size()) return std::nullopt;
+    const int high = HexDigit(text[i + 1]);
+    const int low = HexDigit(text[i + 2]);
+    if (high < 0 || low < 0) return std::nullopt;
+    out.push_back(static_cast<char>(high * 16 + low));
+    i += 2;
+  }
+  return out;
+}
+
 class Management::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Management& owner, Tcp::socket socket)
@@ -170,6 +196,13 @@
     if (const auto wrong = takes(http::verb::get, "GET")) return *wrong;
     return {http::status::ok, calls_.stats(), "application/json"};
   }
+  for (const std::string_view prefix : {kDownPath, kUpPath}) {
+    if (path.substr(0, prefix.size()) != prefix) continue;
+    if (const auto wrong = takes(http::verb::post, "POST")) return *wrong;
+    const auto server = PercentDecoded(path.substr(prefix.size()));
+    if (!server || server->empty()) return Say(http::status::bad_request, "no server named\n");
+    return calls_.ban(*server, prefix == kDownPath);
+  }
   return Say(http::status::not_found, "unknown call\n");
 }
 
--- a/src/net/management.hpp
+++ b/src/net/management.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,7 @@
   struct Calls {
     std::function<bool()> ready;
     std::function<std::string()> stats;  // JSON
+    std::function<Reply(const std::string& server, bool out)> ban;
   };
   struct Limits {
     Micros head = 2'500'000;  // from the connection to the end of the call
@@ -61,6 +63,9 @@
   std::list<SessionPtr> sessions_;  // the oldest first
 };
 
+// Undoes percent-encoding; empty if it is malformed.
+std::optional<std::string> PercentDecoded(std::string_view text);
+
 }  // namespace merlinrun::net
 
 #endif  // MERLINRUN_NET_MANAGEMENT_HPP_
--- a/src/net/shared_dir.cpp
+++ b/src/net/shared_dir.cpp
@@ -17,6 +17,10 @@
 namespace {
 
 constexpr std::string_view kPresencePrefix = "alive.";
+constexpr std::string_view kOutPrefix = "out.";
+constexpr std::string_view kUnfinishedPrefix = "new.";
+constexpr std::size_t kMostTold = 32;
+constexpr std::size_t kMostRecord = 256;
 
 struct CloseDir {
   void operator()(DIR* dir) const { ::closedir(dir); }
@@ -26,6 +30,34 @@
   return text.substr(0, prefix.size()) == prefix;
 }
 
+bool Plain(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_';
+}
+
+// A name for a file that no server's id can turn into another file's or another folder's.
+std::string FileName(const std::string& server) {
+  std::string name(kOutPrefix);
+  for (const char c : server) {
+    if (Plain(c)) {
+      name.push_back(c);
+    } else {
+      char code[4];
+      std::snprintf(code, sizeof code, "%%%02X", static_cast<unsigned>(static_cast<unsigned char>(c)));
+      name.append(code);
+    }
+  }
+  return name;
+}
+
+std::string ReadRecord(const std::string& file) {
+  std::string text(kMostRecord + 1, '\0');
+  const int fd = ::open(file.c_str(), O_RDONLY | O_CLOEXEC | O_NOFOLLOW | O_NONBLOCK);
+  const ssize_t got = fd < 0 ? -1 : ::read(fd, text.data(), text.size());
+  if (fd >= 0) ::close(fd);
+  text.resize(got < 0 ? 0 : static_cast<std::size_t>(got));
+  return text;
+}
+
 }  // namespace
 
 SharedDir::SharedDir(std::string path) : path_(std::move(path)) {}
@@ -58,14 +90,55 @@
   return lives;
 }
 
+// The record appears whole or not at all: it is written under another name first.
+bool SharedDir::Keep(const std::string& server) {
+  const std::string text = server + "\n";
+  if (path_.empty() || text.size() > kMostRecord) return false;
+  std::string unfinished = path_ + "/" + std::string(kUnfinishedPrefix) + "XXXXXX";
+  const int fd = ::mkostemp(unfinished.data(), O_CLOEXEC);
+  if (fd < 0) return false;
+  const bool written = ::write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+  const bool closed = ::close(fd) == 0;
+  if (written && closed && ::rename(unfinished.c_str(), (path_ + "/" + FileName(server)).c_str()) == 0)
+    return true;
+  ::unlink(unfinished.c_str());
+  return false;
+}
+
+bool SharedDir::Drop(const std::string& server) {
+  if (path_.empty()) return false;
+  return ::unlink((path_ + "/" + FileName(server)).c_str()) == 0 || errno == ENOENT;
+}
+
+void SharedDir::Tell(const std::string& name) {
+  if (told_.size() >= kMostTold || !told_.insert(name).second) return;
+  std::string shown = name.substr(0, 100);
+  for (char& c : shown)
+    if (c < ' ' || c > '~') c = '?';
+  std::fprintf(stderr, "shared folder: not understood and left alone: %s\n", shown.c_str());
+}
+
 SharedDir::View SharedDir::Look() {
   View view;
   if (path_.empty()) return view;
   const std::unique_ptr<DIR, CloseDir> dir(::opendir(path_.c_str()));
   if (dir == nullptr) return view;
+  view.readable = true;
   while (const dirent* entry = ::readdir(dir.get())) {
     const std::string name = entry->d_name;
-    if (StartsWith(name, kPresencePrefix) && name != own_name_) view.others = OtherLives(name) || view.others;
+    if (name == "." || name == ".." || StartsWith(name, kUnfinishedPrefix)) continue;
+    if (StartsWith(name, kPresencePrefix)) {
+      if (name != own_name_) view.others = OtherLives(name) || view.others;
+      continue;
+    }
+    std::string server = StartsWith(name, kOutPrefix) ? ReadRecord(path_ + "/" + name) : "";
+    const bool whole = server.size() > 1 && server.back() == '\n';
+    if (whole) server.pop_back();
+    if (whole && FileName(server) == name) {
+      view.out.insert(server);
+    } else {
+      Tell(name);
+    }
   }
   return view;
 }
--- a/src/net/shared_dir.hpp
+++ b/src/net/shared_dir.hpp
@@ -1,8 +1,9 @@
 // What the processes of one sidecar share: a folder that outlives each of them. While a new version takes
-// over, two run side by side, and each sees here that the other one lives.
+// over, two run side by side, and each sees here that the other lives and which servers are out by hand.
 #ifndef MERLINRUN_NET_SHARED_DIR_HPP_
 #define MERLINRUN_NET_SHARED_DIR_HPP_
 
+#include <set>
 #include <string>
 
 namespace merlinrun::net {
@@ -18,16 +19,26 @@
   // Shows that this process lives, by a lock that ends with it however it ends.
   void ShowPresence();
 
+  // Records that a server is out by hand, or that it no longer is. False if that cannot be done; nothing is
+  // changed then.
+  bool Keep(const std::string& server);
+  bool Drop(const std::string& server);
+
   struct View {
-    bool others = false;  // another process of this sidecar lives
+    bool readable = false;
+    bool others = false;        // another process of this sidecar lives
+    std::set<std::string> out;  // servers
   };
+  // What is here and cannot be understood is told once and left alone.
   View Look();
 
  private:
   bool OtherLives(const std::string& name) const;
+  void Tell(const std::string& name);
 
   const std::string path_;
   std::string own_name_;
+  std::set<std::string> told_;
   int own_ = -1;
 };
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -128,7 +128,7 @@
 Sidecar::Sidecar(asio::io_context& io, Config config)
     : io_(io),
       config_(std::move(config)),
-      shared_(config_.accept_fd ? config_.shared_dir : ""),
+      shared_(config_.accept_fd || config_.management ? config_.shared_dir : ""),
       clock_offset_(ClockOffset()),
       budget_(config_.memory / kBudgetShare),
       counters_(config_.wire.settings.classes.size()),
@@ -141,7 +141,7 @@
       drain_timer_(io),
       look_timer_(io),
       log_timer_(io) {
-  shared_.ShowPresence();
+  if (config_.accept_fd) shared_.ShowPresence();
   config_.wire.settings.takes_over = shared_.Look().others;
   std::string error;
   balancer_ = Balancer::Create(config_.wire.settings, config_.seed, Now(), *this, error);
@@ -166,13 +166,14 @@
     Management::Calls calls;
     calls.ready = [this] { return Ready(); };
     calls.stats = [this] { return Figures(); };
+    calls.ban = [this](const std::string& server, bool out) { return OnBan(server, out); };
     management_ =
         std::make_unique<Management>(io_, *config_.management, Management::Limits{}, std::move(calls));
   }
   OnList(ListUpdate::Kind::kStale, config_.known);
   if (config_.known.endpoints.empty()) generation_ = Discovery::kUnknown;
   if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
-  if (config_.accept_fd) Look();
+  if (config_.accept_fd || config_.management) Look();
 }
 
 void Sidecar::Reload(const Config& config) { discovery_.Switch(config.discovery); }
@@ -198,6 +199,28 @@
   return figures.dump() + "\n";
 }
 
+// The record comes before the yes: what has been promised outlives this process.
+Management::Reply Sidecar::OnBan(const std::string& server, bool out) {
+  if (ever_listed_.count(server) == 0) return {http::status::not_found, "never listed\n"};
+  if (!(out ? shared_.Keep(server) : shared_.Drop(server)))
+    return {http::status::service_unavailable, "it cannot be recorded; nothing is changed\n"};
+  SetBan(server, out);
+  return {http::status::ok, out ? "out\n" : "back\n"};
+}
+
+void Sidecar::SetBan(const std::string& server, bool out) {
+  if (out == (banned_.count(server) > 0)) return;
+  if (out) {
+    banned_.insert(server);
+    ever_listed_.insert(server);
+  } else {
+    banned_.erase(server);
+  }
+  std::fprintf(stderr, "by hand: %s a server, %zu out now\n", out ? "out" : "back", banned_.size());
+  balancer_->OnBan(Now(), server, out);
+  upstream_.SetOut(server, out);
+}
+
 // ---- The clock and the list ----
 
 Micros Sidecar::Now() const {
@@ -212,7 +235,10 @@
   upstream_.Apply(applied);
   std::vector<ServerInfo> servers;
   servers.reserve(list.endpoints.size());
-  for (const Endpoint& endpoint : list.endpoints) servers.push_back(endpoint.info);
+  for (const Endpoint& endpoint : list.endpoints) {
+    servers.push_back(endpoint.info);
+    if (management_ != nullptr) ever_listed_.insert(endpoint.info.id);
+  }
   balancer_->OnServers(Now(), {kind, list.generation, servers});
 }
 
@@ -498,16 +524,22 @@
   });
 }
 
-// Two processes of one sidecar have one sidecar's memory and descriptors.
+// Two processes of one sidecar have one sidecar's memory and descriptors. What clients use at once is bounded
+// by them, whichever process serves it, so each may still hold that; idle connections are what has to go.
 void Sidecar::Look() {
   const SharedDir::View view = shared_.Look();
   if (view.others != std::exchange(others_, view.others)) {
     const std::size_t parts = others_ ? 2 : 1;
     budget_.SetMost(config_.memory / kBudgetShare / parts);
-    inbound_->SetMost(ClientSockets(config_) / parts);
-    upstream_.SetMost(UpstreamLimits(config_).connections / parts);
+    inbound_->KeepAtMost(ClientSockets(config_) / parts);
+    upstream_.KeepAtMost(UpstreamLimits(config_).connections / parts);
+  }
+  if (view.readable) {
+    for (const std::string& server : std::set<std::string>(banned_))
+      if (view.out.count(server) == 0) SetBan(server, false);
+    for (const std::string& server : view.out) SetBan(server, true);
   }
-  LookLater();
+  if (config_.accept_fd) LookLater();  // else there is no other process
 }
 
 void Sidecar::Drain(std::function<void()> finished) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -9,9 +9,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "budget.hpp"
@@ -91,6 +93,8 @@
   void Conclude(const std::string& id, int attempt, Result result, const LoadReport& load = {});
   bool Ready() const;
   std::string Figures();
+  Management::Reply OnBan(const std::string& server, bool out);
+  void SetBan(const std::string& server, bool out);
   void OnTurnedAway(const RequestHeader& header);
   void Answer(Call& call, Counters::End end, HttpResponse response, Charge charge = {});
   // Counts a final answer that is no success, for the log. `why` must be a constant.
@@ -122,6 +126,8 @@
   std::unique_ptr<Inbound> inbound_;
   std::unique_ptr<Management> management_;
   Calls calls_;
+  std::unordered_set<std::string> ever_listed_;  // servers
+  std::set<std::string> banned_;
   std::int64_t generation_ = 0;
   asio::steady_timer drain_timer_;
   asio::steady_timer look_timer_;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -57,7 +57,10 @@
   std::uint64_t life = 0;           // changes with all that makes older connections useless
   std::vector<ConnectionPtr> idle;  // the most recently used last
 
-  bool Up() const { return info.state == ServerInfo::State::kHealthy; }
+  bool out = false;  // by hand
+
+  bool Up() const { return info.state == ServerInfo::State::kHealthy && !out; }
+  void CloseIdle();
 };
 
 class Upstream::Connection : public std::enable_shared_from_this<Connection> {
@@ -313,13 +316,33 @@
   }
 }
 
-void Upstream::Update(Server& server, const Endpoint& endpoint) {
+void Upstream::Server::CloseIdle() {
+  for (const ConnectionPtr& connection : std::exchange(idle, {})) connection->Close();
+}
+
+void Upstream::Update(Server& server, const Endpoint& endpoint) const {
+  server.out = out_.count(endpoint.info.id) > 0;
   const bool same = server.address == endpoint.address && server.info.started == endpoint.info.started;
   server.info = endpoint.info;
   if (endpoint.info.state != ServerInfo::State::kGone) server.address = endpoint.address;
   if (same && server.Up()) return;
   if (!same) ++server.life;
-  for (const ConnectionPtr& connection : std::exchange(server.idle, {})) connection->Close();
+  server.CloseIdle();
+}
+
+// Back, it is another process: what was dialled before is of no use.
+void Upstream::SetOut(const std::string& id, bool out) {
+  if (out == (out_.count(id) > 0)) return;
+  if (out) {
+    out_.insert(id);
+  } else {
+    out_.erase(id);
+  }
+  const auto it = servers_.find(id);
+  if (it == servers_.end()) return;
+  it->second->out = out;
+  ++it->second->life;
+  it->second->CloseIdle();
 }
 
 void Upstream::Apply(const EndpointList& list) {
@@ -356,7 +379,7 @@
     connection->Start({attempt, std::move(done)}, std::move(request));
     return attempt;
   }
-  if (open_ >= limits_.connections && !MakeRoom()) {
+  if (open_ >= std::min(limits_.kept, limits_.connections) && !MakeRoom() && open_ >= limits_.connections) {
     Note(Trouble::kNoRoom, id);
     return FailLater(std::move(done));
   }
@@ -415,9 +438,9 @@
   return true;
 }
 
-void Upstream::SetMost(std::size_t connections) {
-  limits_.connections = connections;
-  while (open_ > limits_.connections && MakeRoom()) continue;
+void Upstream::KeepAtMost(std::size_t connections) {
+  limits_.kept = connections;
+  while (open_ > limits_.kept && MakeRoom()) continue;
 }
 
 void Upstream::Release(const ConnectionPtr& connection) {
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -38,6 +39,7 @@
     // then and shows that it is of no further use.
     Micros rest = 25'000;
     std::size_t connections = 512;
+    std::size_t kept = SIZE_MAX;  // beyond so many, idle ones make room for new ones
   };
 
   Upstream(asio::io_context& io, Limits limits, Budget& budget, Counters& counters);
@@ -49,13 +51,16 @@
   // is under way on the others finishes.
   void Apply(const EndpointList& list);
 
+  // Takes a server out by hand, as if it drained, whatever the list says, or puts it back.
+  void SetOut(const std::string& server, bool out);
+
   // Starts an attempt. `done` is called once, from the loop and never from in here, unless it is given up.
   AttemptId Send(const std::string& server, HttpRequest request, Done done);
   // Ends an attempt by closing its connection; its `done` is not called any more.
   void GiveUp(AttemptId attempt);
 
-  // From now on so many connections at most; closes idle ones beyond that.
-  void SetMost(std::size_t connections);
+  // From now on idle connections are kept only where there are no more than so many in all.
+  void KeepAtMost(std::size_t connections);
 
   // Why attempts ended without an answer that could be read; counted for the log.
   enum class Trouble {
@@ -81,7 +86,7 @@
   struct Server;
   using ConnectionPtr = std::shared_ptr<Connection>;
 
-  static void Update(Server& server, const Endpoint& endpoint);
+  void Update(Server& server, const Endpoint& endpoint) const;
   ConnectionPtr TakeIdle(Server& server);
   bool MakeRoom();
   AttemptId FailLater(Done done);
@@ -102,6 +107,7 @@
   std::size_t open_ = 0;
   AttemptId last_attempt_ = 0;
   std::unordered_map<std::string, std::shared_ptr<Server>> servers_;
+  std::set<std::string> out_;  // servers out by hand
   asio::steady_timer log_;
   std::array<int, static_cast<std::size_t>(Trouble::kCount)> troubles_{};  // since the last line of the log
   std::unordered_map<std::string, int> troubled_;                          // the same by server
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -173,7 +173,6 @@
     } else {
       asks_failed_ = 0;
     }
-    const std::array<std::size_t, 2> before = {pools_[0].ring.size(), pools_[1].ring.size()};
     if (update.kind != ListUpdate::Kind::kDelta)
       for (auto& [id, server] : servers_) server.listed = false;
     for (const ServerInfo& info : update.servers) {
@@ -183,13 +182,61 @@
         server.served_then = served_;
       }
       server.info = info;
+      if (const auto it = by_hand_.find(info.id); it != by_hand_.end() && !it->second.started)
+        it->second.started = info.started;
       server.pool = set_.price_crossing >= kCrossingPriced && info.zone != set_.zone ? 1 : 0;
       server.listed = info.state != ServerInfo::State::kGone;
     }
+    Rebuild();
+  }
+
+  // ---- Servers out by hand ----
+
+  void OnBan(std::string_view id, bool out) {
+    auto it = by_hand_.find(std::string(id));
+    if (out == (it != by_hand_.end() && it->second.out)) return;
+    const auto server = servers_.find(std::string(id));
+    if (out) {
+      const bool known = server != servers_.end();
+      by_hand_[std::string(id)] = {true, known ? std::optional(server->second.info.started) : std::nullopt};
+    } else {
+      it->second.out = false;
+      it->second.back_at = now_;
+      if (server != servers_.end()) {
+        // Its process is another one: what was seen of the old one says nothing of it.
+        Server fresh;
+        fresh.info = server->second.info;
+        fresh.pool = server->second.pool;
+        fresh.listed = server->second.listed;
+        fresh.out = server->second.out;
+        fresh.young_credit = random_.Unit();
+        fresh.served_then = served_;
+        server->second = fresh;
+      }
+    }
+    Rebuild();
+  }
+
+  bool Banned(const Server& server) const {
+    const auto it = by_hand_.find(server.info.id);
+    return it != by_hand_.end() && it->second.out;
+  }
+
+  // When it started, as far as is known. Guards against taking one for warm that was restarted while it was
+  // out: the list tells it late.
+  Micros Started(const Server& server) const {
+    const auto it = by_hand_.find(server.info.id);
+    const bool told =
+        it == by_hand_.end() || it->second.started.value_or(server.info.started) != server.info.started;
+    return told ? server.info.started : std::max(server.info.started, it->second.back_at);
+  }
+
+  void Rebuild() {
+    const std::array<std::size_t, 2> before = {pools_[0].ring.size(), pools_[1].ring.size()};
     for (Pool& pool : pools_) pool.ring.clear();
     for (auto it = servers_.begin(); it != servers_.end();) {
       Server& server = it->second;
-      if (server.listed && server.info.state == ServerInfo::State::kHealthy)
+      if (server.listed && server.info.state == ServerInfo::State::kHealthy && !Banned(server))
         pools_[server.pool].ring.push_back(&server);
       it = server.listed || server.out > 0 ? std::next(it) : servers_.erase(it);
     }
@@ -288,8 +335,9 @@
 
   std::size_t Avoided() const {
     return static_cast<std::size_t>(
-        std::count_if(servers_.begin(), servers_.end(),
-                      [this](const auto& entry) { return entry.second.listed && Away(entry.second); }));
+        std::count_if(servers_.begin(), servers_.end(), [this](const auto& entry) {
+          return entry.second.listed && (Banned(entry.second) || Away(entry.second));
+        }));
   }
 
  private:
@@ -716,8 +764,9 @@
   // The share of its full capacity that a server certainly has: it grows from the cold share over the
   // warm-up.
   double Warmth(const Server& server) const {
-    const Micros age = now_ - server.info.started;
-    if (server.info.started == 0 || age >= set_.warm_after) return 1;
+    const Micros started = Started(server);
+    const Micros age = now_ - started;
+    if (started == 0 || age >= set_.warm_after) return 1;
     const double grown = static_cast<double>(std::max<Micros>(age, 0)) / static_cast<double>(set_.warm_after);
     return set_.cold_share + (1 - set_.cold_share) * grown;
   }
@@ -818,6 +867,7 @@
   Random random_;
   Micros now_;
   std::map<std::string, Server> servers_;  // sorted: the ring's order; nodes stay put
+  std::map<std::string, ByHand> by_hand_;
   std::array<Pool, 2> pools_;
   std::unordered_map<std::string, Held> held_;  // looked up, never walked
   std::unordered_map<std::uint64_t, std::string> timers_;
@@ -869,6 +919,10 @@
   state_->Advance(now);
   state_->OnServers(update);
 }
+void Balancer::OnBan(Micros now, std::string_view server, bool out) {
+  state_->Advance(now);
+  state_->OnBan(server, out);
+}
 void Balancer::OnRequest(Micros now, const Request& request) {
   state_->Advance(now);
   state_->OnRequest(request);
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,13 @@
   std::int64_t served_then = 0;  // what this sidecar had been served when the credit was last reckoned
 };
 
+// What operators have said of a server.
+struct ByHand {
+  bool out = true;
+  std::optional<Micros> started;  // as listed when it was taken out; another start is news
+  Micros back_at = 0;
+};
+
 // Servers that share a ring, and what this sidecar knows of them together. Own zone and elsewhere where
 // crossing is priced, else all in one.
 struct Pool {
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -294,6 +294,75 @@
   EXPECT_NEAR(sent_to_young(0.25), 4000 / 9.0 * share, 50);
 }
 
+// Out by hand: neither draws, the list nor a retry that waits bring a server anything.
+TEST_F(BalancerTest, AServerOutByHandGetsNothingUntilItIsPutBack) {
+  Start(MakeSettings(), 3);
+  const auto send_many = [&](int from, const std::string& but) {
+    for (int i = from; i < from + 100; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      const auto sent = Arrive(id);
+      ASSERT_EQ(sent.size(), 1u);
+      EXPECT_NE(sent[0].server, but);
+      Resolve(id, 0, Result::kSuccess, true);
+    }
+  };
+  Deliver("w1");
+  const std::string first = Took()[0].server;
+  const auto wait = Resolve("w1", 0, Result::kUnreachable);
+  const std::string out = first == "s00" ? "s01" : "s00";
+  balancer_->OnBan(now_, out, true);
+  balancer_->OnBan(now_, out, true);
+  EXPECT_EQ(balancer_->servers_avoided(now_), 2u);  // and the one that could not be reached
+  const auto again = Fire(wait[0]);
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_NE(again[0].server, out);
+  send_many(0, out);
+  List(ListUpdate::Kind::kFull, MakeServers(3));
+  send_many(100, out);
+  auto gone = MakeServers(3);
+  for (auto& server : gone) server.state = ServerInfo::State::kGone;
+  List(ListUpdate::Kind::kDelta, gone);
+  List(ListUpdate::Kind::kFull, MakeServers(3));
+  send_many(200, out);
+  balancer_->OnBan(now_, out, false);
+  balancer_->OnBan(now_, out, false);
+  EXPECT_EQ(balancer_->servers_avoided(now_), 0u);
+  now_ += MakeSettings().warm_after;
+  int back = 0;
+  for (int i = 300; i < 400; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    back += Arrive(id)[0].server == out;
+    Resolve(id, 0, Result::kSuccess, true);
+  }
+  EXPECT_GT(back, 10);
+}
+
+// It was restarted meanwhile, and the list tells that late.
+TEST_F(BalancerTest, AServerPutBackCountsAsYoungUntilTheListTellsItsStart) {
+  const auto share = [&](bool told_long_ago) {
+    now_ = 100 * kSec;
+    Start(MakeSettings(), 3);
+    balancer_->OnBan(now_, "s00", true);
+    balancer_->OnBan(now_, "s00", false);
+    if (told_long_ago) {
+      auto servers = MakeServers(3);
+      servers[0].started = now_ - 50 * kSec;
+      List(ListUpdate::Kind::kDelta, {servers[0]});
+    }
+    int back = 0;
+    for (int i = 0; i < 300; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      back += Arrive(id)[0].server == "s00";
+      Resolve(id, 0, Result::kSuccess, true);
+    }
+    return back;
+  };
+  const double young = 300 / 3.0 * MakeSettings().cold_share * MakeSettings().overload_factor / 2;
+  EXPECT_GT(share(false), 0);
+  EXPECT_LE(share(false), 1 + young);
+  EXPECT_GT(share(true), 1 + young);
+}
+
 // A sidecar that restarts knows nothing but its last list; many servers may be young in it at once.
 TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtYoungServers) {
   auto servers = MakeServers(4);
--- a/tests/net/inbound_test.cpp
+++ b/tests/net/inbound_test.cpp
@@ -192,7 +192,7 @@
   answers = false;
   const auto busy = Client(Get("b1"));
   ASSERT_TRUE(RunUntil(io, [&] { return requests.size() == 5; }));
-  inbound->SetMost(2);
+  inbound->KeepAtMost(2);
   EXPECT_EQ(inbound->sessions(), 2U);
   EXPECT_TRUE(Ends(*idle[0]) && Ends(*idle[1]) && Ends(*idle[2]));
   EXPECT_FALSE(busy->ended || idle[3]->ended);
--- a/tests/net/management_test.cpp
+++ b/tests/net/management_test.cpp
@@ -14,6 +14,10 @@
     Management::Calls calls;
     calls.ready = [this] { return ready; };
     calls.stats = [] { return std::string("{}\n"); };
+    calls.ban = [this](const std::string& server, bool out) {
+      banned.emplace_back(server, out);
+      return Management::Reply{http::status::ok, "yes\n"};
+    };
     door = std::make_unique<Management>(io, Loopback(), limits, std::move(calls));
   }
   std::shared_ptr<Peer> Caller(const std::string& text = "") {
@@ -31,6 +35,7 @@
   asio::io_context io;
   Management::Limits limits;
   bool ready = true;
+  std::vector<std::pair<std::string, bool>> banned;
   std::unique_ptr<Management> door;
 };
 
@@ -57,6 +62,22 @@
   EXPECT_EQ(Call("GET /ops/stats HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n"), "431");
 }
 
+TEST_F(ManagementTest, ServersAreNamedInThePathPercentEncodedOrNot) {
+  Start();
+  const auto post = [&](const std::string& path) {
+    return Call("POST " + path + " HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+  };
+  EXPECT_EQ(post("/ops/servers/down/s-1"), "200");
+  EXPECT_EQ(post("/ops/servers/up/a%2Fb%20%0A%c3%A9"), "200");
+  EXPECT_EQ(banned, (std::vector<std::pair<std::string, bool>>{{"s-1", true}, {"a/b \n\xc3\xa9", false}}));
+  EXPECT_EQ(post("/ops/servers/down/"), "400");
+  EXPECT_EQ(post("/ops/servers/down/a%2"), "400");
+  EXPECT_EQ(post("/ops/servers/down/a%zz"), "400");
+  EXPECT_EQ(post("/ops/servers/aside/s-1"), "404");
+  EXPECT_EQ(Call("GET /ops/servers/down/s-1 HTTP/1.1\r\n\r\n"), "405");
+  EXPECT_EQ(banned.size(), 2U);
+}
+
 TEST_F(ManagementTest, AHeadRequestGetsNoBody) {
   Start();
   auto caller = Caller("HEAD /ops/stats HTTP/1.1\r\n\r\n");
--- a/tests/net/shared_dir_test.cpp
+++ b/tests/net/shared_dir_test.cpp
@@ -3,10 +3,13 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <set>
+#include <string>
 
 namespace merlinrun::net {
 namespace {
@@ -42,6 +45,46 @@
   EXPECT_FALSE(std::filesystem::exists(path + "/alive.abcdef"));
 }
 
+TEST_F(SharedDirTest, RecordsOutliveTheProcessAndMayBeRepeated) {
+  const std::set<std::string> servers = {"s-1", "../s", "a/b", "s.1", "%2e", "a b", "\n", "\xc3\xa9", "S-1"};
+  {
+    SharedDir own(path);
+    for (const std::string& server : servers) EXPECT_TRUE(own.Keep(server) && own.Keep(server));
+  }
+  SharedDir next(path);
+  EXPECT_EQ(next.Look().out, servers);
+  for (const auto& entry : std::filesystem::directory_iterator(path))
+    EXPECT_TRUE(entry.is_regular_file()) << entry.path();
+  EXPECT_TRUE(next.Drop("a/b") && next.Drop("a/b"));
+  EXPECT_EQ(next.Look().out.size(), servers.size() - 1);
+}
+
+TEST_F(SharedDirTest, WhatIsTornOrForeignIsToldOnceAndLeftAlone) {
+  std::ofstream(path + "/out.s1") << "s1";    // torn: its end is missing
+  std::ofstream(path + "/out.s2") << "s3\n";  // another server's
+  std::ofstream(path + "/out.s4") << "";
+  std::ofstream(path + "/notes\ntxt") << "hello\n";
+  std::filesystem::create_directory(path + "/out.s5");
+  SharedDir own(path);
+  ::testing::internal::CaptureStderr();
+  EXPECT_TRUE(own.Look().out.empty());
+  EXPECT_TRUE(own.Look().out.empty());
+  const std::string told = ::testing::internal::GetCapturedStderr();
+  EXPECT_EQ(std::count(told.begin(), told.end(), '\n'), 5) << told;
+  EXPECT_TRUE(std::filesystem::exists(path + "/notes\ntxt"));
+}
+
+TEST_F(SharedDirTest, WhatCannotBeRecordedIsSaid) {
+  SharedDir none("");
+  EXPECT_FALSE(none.Keep("s1") || none.Drop("s1"));
+  SharedDir missing(path + "/missing");
+  EXPECT_FALSE(missing.Keep("s1"));
+  SharedDir own(path);
+  EXPECT_FALSE(own.Keep(std::string(300, 'x')));
+  EXPECT_FALSE(own.Keep(std::string(150, '/')));  // its file's name would be too long
+  EXPECT_TRUE(std::filesystem::is_empty(path));
+}
+
 TEST_F(SharedDirTest, NoFolderSharesNothing) {
   for (const std::string& none : {std::string(), path + "/missing"}) {
     SharedDir own(none);
--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -1,6 +1,9 @@
 // The whole sidecar between scripted clients, servers and discovery.
 #include "net/sidecar.hpp"
 
+#include <cstdlib>
+#include <filesystem>
+
 #include "loopback.hpp"
 
 namespace merlinrun::net {
@@ -436,6 +439,99 @@
     EXPECT_EQ(counts.taken, counts.ended() + (&counts == &sidecar->counters().classes()[0] ? 1 : 0));
 }
 
+class BanTest : public SidecarTest {
+ protected:
+  BanTest() {
+    char name[] = "/tmp/fennelhollow-shared-XXXXXX";
+    folder = ::mkdtemp(name);
+  }
+  ~BanTest() override { std::filesystem::remove_all(folder); }
+  void StartWith(const std::vector<nlohmann::json>& instances) {
+    Config config = ParseConfig(ConfigJson(discovery.address, instances).dump());
+    config.listen = Loopback();
+    config.management = Loopback();
+    config.shared_dir = folder;
+    watching = nullptr;
+    sidecar = std::make_unique<Sidecar>(io, std::move(config));
+    sidecar->Start();
+    ASSERT_TRUE(RunUntil(io, [&] { return watching != nullptr; }));
+  }
+  std::string Order(const std::string& call) {
+    auto caller = Connect(io, sidecar->management_address());
+    caller->Write("POST /ops/servers/" + call + " HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(RunUntil(io, [&] { return caller->ended; }));
+    return caller->received.substr(9, 3);
+  }
+  int SkippedServers() {
+    auto caller = Connect(io, sidecar->management_address());
+    caller->Write("GET /ops/stats HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(RunUntil(io, [&] { return caller->ended; }));
+    return nlohmann::json::parse(caller->received.substr(caller->received.find("\r\n\r\n") + 4))
+        .at("skipped_servers");
+  }
+  void AskMany(int count) {
+    for (int i = 0; i < count; ++i) EXPECT_EQ(Ask(Get("m" + std::to_string(asked++))), "200");
+  }
+
+  std::string folder;
+  int asked = 0;
+};
+
+TEST_F(BanTest, AServerThatIsOutGetsNothingWhateverDiscoverySays) {
+  ScriptedServer out(io, Serves("ok"));
+  ScriptedServer other(io, Serves("ok"));
+  std::vector<nlohmann::json> both = {Entry("s1", out.address)};
+  for (int i = 2; i < 9; ++i) both.push_back(Entry("s" + std::to_string(i), other.address));
+  StartWith(both);
+  AskMany(30);
+  EXPECT_GT(out.requests(), 0);
+  const int before = out.requests();
+  EXPECT_EQ(Order("down/s1"), "200");
+  EXPECT_EQ(Order("down/s1"), "200");
+  EXPECT_EQ(SkippedServers(), 1);
+  AskMany(10);
+  Tell(List(2, true, both));
+  AskMany(10);
+  Tell(List(3, false, {Entry("s1", out.address, "removed")}));
+  Tell(List(4, false, {Entry("s1", out.address, "up", 1000)}));
+  AskMany(10);
+  EXPECT_EQ(out.requests(), before);
+  StartWith(both);  // as after a restart
+  AskMany(10);
+  EXPECT_EQ(out.requests(), before);
+  EXPECT_EQ(Order("up/s1"), "200");
+  EXPECT_EQ(SkippedServers(), 0);
+  for (int i = 0; i < 100 && out.requests() == before; ++i) AskMany(1);
+  EXPECT_GT(out.requests(), before);
+  EXPECT_TRUE(std::filesystem::is_empty(folder));
+}
+
+TEST_F(BanTest, WhatWasNeverListedIsNoAndWhatCannotBeKeptChangesNothing) {
+  ScriptedServer server(io, Serves("ok"));
+  StartWith({Entry("s1", server.address)});
+  EXPECT_EQ(Order("down/s9"), "404");
+  EXPECT_EQ(Order("up/s9"), "404");
+  EXPECT_EQ(Order("down/..%2Fs1"), "404");
+  EXPECT_EQ(Order("up/s1"), "200");  // listed, and not out
+  std::filesystem::remove_all(folder);
+  EXPECT_EQ(Order("down/s1"), "503");
+  EXPECT_EQ(SkippedServers(), 0);
+  AskMany(3);
+}
+
+// The last server of all: requests end at once and nothing reaches it; work under way finishes there.
+TEST_F(BanTest, WithTheLastServerOutRequestsAreRefusedAndWorkUnderWayFinishes) {
+  ScriptedServer server(io);
+  StartWith({Entry("s1", server.address)});
+  auto under_way = Client(Get("r1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  EXPECT_EQ(Order("down/s1"), "200");
+  EXPECT_EQ(Ask(Get("r2")), "503");
+  EXPECT_EQ(server.requests(), 1);
+  server.peers[0]->Write(Reply("200 OK", "ok"));
+  EXPECT_EQ(Status(*under_way), "200");
+}
+
 TEST_F(SidecarTest, ADrainTakesWhatStillComesAndFinishesWhatIsHeld) {
   ScriptedServer server(io);
   Start({Entry("s1", server.address)});
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -169,6 +169,24 @@
   EXPECT_EQ(answers.back().result, Result::kUnreachable);
 }
 
+TEST_F(UpstreamTest, AServerOutByHandIsSentNothingWhateverTheListSays) {
+  ScriptedServer server(io, Serves("ok"));
+  Tell(server.address);
+  EXPECT_EQ(Try(), Result::kSuccess);
+  upstream().SetOut("s1", true);
+  EXPECT_EQ(upstream().open_connections(), 0U);
+  EXPECT_EQ(Try(), Result::kUnreachable);
+  Tell(server.address, "removed");
+  Tell(server.address, "up", 5000);
+  EXPECT_EQ(Try(), Result::kUnreachable);
+  upstream().SetOut("s1", false);
+  Send();
+  upstream().SetOut("s1", true);  // while it is dialling
+  ASSERT_TRUE(RunUntil(io, [&] { return answers.size() == 4; }));
+  EXPECT_EQ(answers.back().result, Result::kUnreachable);
+  EXPECT_EQ(server.requests(), 1);
+}
+
 TEST_F(UpstreamTest, ReusesTheConnectionUsedLast) {
   ScriptedServer server(io, Serves("ok"));
   Tell(server.address);
