--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -139,6 +139,7 @@
   int tenant = -1;
   std::optional<Micros> cost;  // expected work
   Micros budget = 0;           // the client gives up after this time
+  bool partial = false;        // its body is still coming in: its times begin with OnWhole
   bool repeated = false;       // the client says that it is a repeat
   bool write = false;
   std::string_view key;  // what it concerns; empty = none
@@ -172,6 +173,7 @@
   Micros elapsed = 0;
   bool settled = false;  // the request has its final answer
   LoadReport load = {};
+  bool spent = false;  // its body has been passed on and is not held: it cannot be sent again
 };
 
 struct ProbeResult {
@@ -210,6 +212,8 @@
   // as started then, until the list tells of another start than it did before.
   void OnBan(Micros now, std::string_view server, bool out);
   void OnRequest(Micros now, const Request& request);
+  // The last byte of a partial request has been passed on; the client gives up so long from now.
+  void OnWhole(Micros now, std::string_view request, Micros budget);
   void OnResponseStarted(Micros now, std::string_view request, int attempt);
   void OnOutcome(Micros now, const Outcome& outcome);
   void OnClientGone(Micros now, std::string_view request);
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -3,7 +3,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
@@ -32,13 +34,16 @@
     parser.body_limit(kMostBody);
   }
 
-  http::request_parser<http::string_body> parser;
+  http::request_parser<http::buffer_body> parser;
+  std::string held;          // of the body
+  std::size_t received = 0;  // of the body
   bool begun = false;
 };
 
 }  // namespace
 
-class Inbound::Session : public std::enable_shared_from_this<Session> {
+// Is the source of its request's body too, while that is still coming in.
+class Inbound::Session : public BodySource, public std::enable_shared_from_this<Session> {
  public:
   Session(Inbound& owner, Tcp::socket socket)
       : owner_(owner), socket_(std::move(socket)), since_(Clock::now()) {
@@ -65,15 +70,32 @@
     return now - since_ >= std::chrono::microseconds(time);
   }
 
-  void Respond(HttpResponse response, Charge charge) {
-    if (state_ != State::kBusy) return;
+  void Respond(Reply reply) {
+    if (state_ != State::kBusy) {
+      if (reply.message.rest != nullptr) reply.message.rest->Stop();
+      if (reply.done) reply.done(Sent::kClientGone);
+      return;
+    }
     Become(State::kWriting);
-    response.keep_alive(keep_alive_ && !owner_.draining_);
-    response.prepare_payload();
-    response_ = std::move(response);
-    answer_charge_ = std::move(charge);
-    http::async_write(socket_, response_,
-                      [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
+    // What is still coming of the request is not wanted any more.
+    const bool unread = std::exchange(uploading_, false);
+    most_lingering_ = unread ? kMostBody : kMostLingering;
+    const Unframed unframed = version_ < 11 ? Unframed::kUntilClose : Unframed::kChunked;
+    const bool told = reply.message.rest == nullptr || reply.message.length || unframed == Unframed::kChunked;
+    keep_alive_ = keep_alive_ && !owner_.draining_ && !unread && told;
+    reply.message.head.version(11);
+    if (head_only_ && !reply.message.length)
+      reply.message.length = reply.message.held == nullptr ? 0 : reply.message.held->size();
+    if (head_only_) reply.message.held = nullptr;
+    done_ = std::move(reply.done);
+    answer_charge_ = std::move(reply.charge);
+    streams_ = reply.message.rest != nullptr;
+    MessageWriter<false>::Events events;
+    if (streams_) events.progress = [this] { since_ = Clock::now(); };
+    events.done = [this](ErrorCode error, bool source_failed) { OnWritten(error, source_failed); };
+    writer_ = std::make_shared<MessageWriter<false>>(shared_from_this(), socket_, std::move(reply.message),
+                                                     keep_alive_, unframed, std::move(events));
+    writer_->Start();
   }
 
   void Reject(const Fault& fault) {
@@ -83,7 +105,9 @@
     HttpResponse response = Plain(fault.status, fault.text);
     // What has no room now may have in a moment.
     if (fault.status == http::status::service_unavailable) response.set(http::field::retry_after, "0.2");
-    Respond(std::move(response), {});
+    if (fault.status == http::status::method_not_allowed && fault.allow != nullptr)
+      response.set(http::field::allow, fault.allow);
+    Respond(Whole(std::move(response)));
   }
 
   // Ends what has had its time. Guards against connections that say nothing, half a request or do not read:
@@ -93,19 +117,20 @@
     switch (state_) {
       case State::kReading:
         if (parser_->begun) {
-          if (For(now, limits.request))
-            Reject({http::status::request_timeout, "the request took too long\n"});
+          if (For(now, limits.request + BodyTime())) Reject(TooSlow());
         } else if (For(now, fresh_ ? limits.request : limits.idle) && Idle()) {
           Close();
         }
         return;
+      case State::kBusy:  // it is the sidecar's turn, unless more of the body is waited for
+        if (taken_ && For(now, limits.request + BodyTime())) FailUpload(TooSlow());
+        return;
       case State::kWriting:
-        if (For(now, limits.answer)) Close();
+        if (!(streams_ && writer_ != nullptr && writer_->drawing()) && For(now, limits.answer)) Close();
         return;
       case State::kLingering:
         if (For(now, limits.linger)) Close();
         return;
-      case State::kBusy:  // it is the sidecar's turn
       case State::kClosed:
         return;
     }
@@ -115,6 +140,7 @@
     if (state_ == State::kClosed) return;
     Abandon();
     owner_.Remove(*this);
+    if (done_) std::exchange(done_, nullptr)(Sent::kClientGone);
   }
 
   // Closes without a word to the owner, which is going: what is still to be called back finds it closed.
@@ -122,24 +148,47 @@
     state_ = State::kClosed;
     charge_ = {};
     answer_charge_ = {};
+    taken_ = nullptr;
+    if (writer_ != nullptr) std::exchange(writer_, nullptr)->Stop();
     ErrorCode ignored;
     socket_.close(ignored);
   }
 
+  // ---- What is still coming of the request's body ----
+
+  void ReadSome(asio::mutable_buffer into, Taken taken) override {
+    // The time that the other side took to pass the last piece on is not the client's.
+    since_ += Clock::now() - given_at_;
+    into_ = into;
+    taken_ = std::move(taken);
+    asio::post(owner_.io_, [self = shared_from_this()] { self->Supply(); });
+  }
+
+  void Stop() override { taken_ = nullptr; }
+
   std::list<SessionPtr>::iterator place;
 
  private:
   enum class State { kReading, kBusy, kWriting, kLingering, kClosed };
 
+  static Fault TooSlow() { return {http::status::request_timeout, "the request took too long\n"}; }
+
+  // The time that so much of a body may take.
+  Micros BodyTime() const {
+    return static_cast<Micros>(parser_->received) * 1'000'000 / static_cast<Micros>(owner_.limits_.body_rate);
+  }
+
   void Become(State state) {
     state_ = state;
     since_ = Clock::now();
   }
 
   // Waits for input while a request is held too, so that a client that leaves is noticed; not once what it
-  // has sent behind that request waits here, as more would only be kept.
+  // has sent behind that request waits here, nor while its body is not asked for, as more would only be kept.
   void Read() {
-    if (waiting_ || (state_ != State::kReading && state_ != State::kLingering && buffer_.size() > 0)) return;
+    const bool wanted = state_ == State::kReading || state_ == State::kLingering || taken_ ||
+                        (buffer_.size() == 0 && !uploading_);
+    if (waiting_ || !wanted) return;
     waiting_ = true;
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
       self->waiting_ = false;
@@ -160,35 +209,47 @@
   void OnGone() {
     const auto self = shared_from_this();
     const bool busy = state_ == State::kBusy;
+    const Taken taken = std::exchange(taken_, nullptr);
     Close();
     if (busy && !request_.empty()) owner_.events_.on_gone(request_);
+    if (taken) taken(asio::error::connection_aborted, 0, true);
   }
 
   void Take(std::size_t n) {
     if (state_ == State::kLingering) {
-      if ((lingered_ += n) > kMostLingering) Close();
+      lingered_ += n;
+      if (lingered_ > most_lingering_) return Close();
+      if (most_lingering_ > kMostLingering) since_ = Clock::now();  // the rest of a body that was in order
       return;
     }
-    if (buffer_.size() + n > buffer_.max_size())
-      return Close();  // cannot be: the parser took less than it may
+    if (buffer_.size() + n > buffer_.max_size()) {  // the parser wants more at once than it may
+      const Fault fault{http::status::bad_request, "malformed request\n"};
+      return uploading_ ? FailUpload(fault) : state_ == State::kReading ? Reject(fault) : Close();
+    }
     buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(owner_.input_, n)));
-    if (state_ == State::kReading) Parse();
+    if (state_ == State::kReading) return Parse();
+    if (taken_) Supply();
   }
 
   void Parse() {
     auto& parser = parser_->parser;
-    while (buffer_.size() > 0 && !parser.is_done()) {
+    std::array<char, kReadSize> piece;
+    while (buffer_.size() > 0 && !parser.is_done() && parser_->held.size() < kMostHeld) {
       // On a kept connection the time runs from a request's first byte, on a new one it has begun already.
       if (!std::exchange(parser_->begun, true) && !fresh_) since_ = Clock::now();
       const bool had_header = parser.is_header_done();
+      const std::size_t before = buffer_.size();
+      const std::size_t room = std::min(piece.size(), kMostHeld - parser_->held.size());
       ErrorCode error;
-      buffer_.consume(parser.put(buffer_.data(), error));
-      if (error && error != http::error::need_more) return Reject(FaultOf(error));
+      const std::size_t n = Feed(parser, buffer_, asio::buffer(piece.data(), room), error);
+      if (error) return Reject(FaultOf(error));
       if (!had_header && parser.is_header_done() && !TakeHeader()) return;
-      if (error) break;
+      parser_->held.append(piece.data(), n);
+      parser_->received += n;
+      if (buffer_.size() == before) break;  // more of it is needed
     }
     if (buffer_.size() == 0) buffer_ = beast::flat_buffer(kMostUnparsed);  // an idle connection holds none
-    if (parser.is_done()) Dispatch(parser.release());
+    if (parser.is_done() || parser_->held.size() >= kMostHeld) Dispatch();
   }
 
   static Fault FaultOf(ErrorCode error) {
@@ -201,29 +262,47 @@
   // What is wrong shows in the header: guards against reading, keeping or passing on what follows it.
   bool TakeHeader() {
     auto& parser = parser_->parser;
-    if (const auto fault = CheckRequest(parser.get())) return Reject(*fault), false;
-    // Twice: the request is copied when it is sent on.
-    const std::size_t size =
-        parser.chunked() ? kMostBody : static_cast<std::size_t>(parser.content_length().value_or(0));
-    if (!charge_.Take(owner_.budget_, 2 * size)) {
-      if (owner_.events_.on_turned_away) owner_.events_.on_turned_away(parser.get());
+    const auto& header = parser.get();
+    head_only_ = header.method() == http::verb::head;
+    version_ = header.version();
+    if (const auto fault = CheckRequest(header)) return Reject(*fault), false;
+    const std::uint64_t size =
+        parser.chunked() ? kMostBody : static_cast<std::uint64_t>(parser.content_length().value_or(0));
+    const std::size_t cost = size > kMostHeld ? kMostHeld + kStreamCost : static_cast<std::size_t>(size);
+    if (!charge_.Take(owner_.budget_, cost)) {
+      if (owner_.events_.on_turned_away) owner_.events_.on_turned_away(header);
       return Reject({http::status::service_unavailable, "out of memory for requests\n"}), false;
     }
-    parser.eager(true);
+    // Whoever expects it sends the body only then. There is room for it: nothing else is being written.
+    if (version_ >= 11 && size > 0 && buffer_.size() == 0 && ExpectsContinue(header)) {
+      constexpr std::string_view kGoOn = "HTTP/1.1 100 Continue\r\n\r\n";
+      ErrorCode error;
+      if (socket_.write_some(asio::buffer(kGoOn), error) != kGoOn.size()) return Close(), false;
+    }
     return true;
   }
 
-  void Dispatch(HttpRequest request) {
+  void Dispatch() {
     Become(State::kBusy);
-    keep_alive_ = request.keep_alive();
-    if (request.target() == kReadyPath) {
+    const auto& header = parser_->parser.get();
+    keep_alive_ = header.keep_alive();
+    if (header.target() == kReadyPath) {
       request_.clear();
       const bool ready = !owner_.draining_ && owner_.events_.ready();
-      return Respond(Plain(ready ? http::status::ok : http::status::service_unavailable,
-                           ready ? "ready\n" : "not yet\n"),
-                     {});
+      return Respond(Whole(Plain(ready ? http::status::ok : http::status::service_unavailable,
+                                 ready ? "ready\n" : "not yet\n")));
     }
-    request_ = std::string(View(request[kIdHeader]));
+    request_ = std::string(View(header[kIdHeader]));
+    Message<true> request;
+    request.head = header.base();
+    uploading_ = !parser_->parser.is_done();
+    const auto length = parser_->parser.content_length();
+    if (length) request.length = *length;
+    parser_->held.shrink_to_fit();
+    if (!parser_->held.empty()) request.held = std::make_shared<const std::string>(std::move(parser_->held));
+    parser_->held = {};
+    if (uploading_) request.rest = shared_from_this();
+    given_at_ = Clock::now();
     try {
       owner_.events_.on_request(shared_from_this(), std::move(request));
     } catch (const std::exception&) {
@@ -232,18 +311,51 @@
     }
   }
 
-  void OnWritten(ErrorCode error) {
+  void Supply() {
+    if (!taken_) return;
+    if (state_ != State::kBusy)
+      return std::exchange(taken_, nullptr)(asio::error::connection_aborted, 0, true);
+    ErrorCode error;
+    const std::size_t n = Feed(parser_->parser, buffer_, into_, error);
+    if (error) return FailUpload(FaultOf(error));
+    parser_->received += n;
+    const bool over = parser_->parser.is_done();
+    if (n == 0 && !over) return Read();
+    uploading_ = !over;
+    given_at_ = Clock::now();
+    std::exchange(taken_, nullptr)({}, n, over);
+    if (state_ == State::kBusy) Read();
+  }
+
+  // The client's part of a request that is already under way has gone wrong.
+  void FailUpload(const Fault& fault) {
+    const auto self = shared_from_this();
+    const Taken taken = std::exchange(taken_, nullptr);
+    owner_.events_.on_gone(request_);
+    if (taken) taken(asio::error::connection_aborted, 0, true);
+    uploading_ = false;
+    Reject(fault);
+  }
+
+  void OnWritten(ErrorCode error, bool source_failed) {
     if (state_ == State::kClosed) return;
+    writer_.reset();
+    if (done_ && !error) std::exchange(done_, nullptr)(Sent::kWhole);
+    if (source_failed) {
+      // Whatever its framing, the client has to see that this is not all.
+      if (done_) std::exchange(done_, nullptr)(Sent::kBroken);
+      ErrorCode ignored;
+      socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     if (error) return Close();
-    const bool close = !response_.keep_alive();
-    response_ = {};
     answer_charge_ = {};
     charge_ = {};
     fresh_ = false;
-    if (close) return LingerAndClose();
+    if (!keep_alive_) return LingerAndClose();
     owner_.sessions_.splice(owner_.sessions_.end(), owner_.sessions_, place);
     Become(State::kReading);
     parser_.emplace();
+    head_only_ = false;
     Parse();
     if (state_ != State::kClosed) Read();
   }
@@ -262,14 +374,23 @@
   Tcp::socket socket_;
   beast::flat_buffer buffer_{kMostUnparsed};
   std::optional<Incoming> parser_;
-  HttpResponse response_;
+  std::shared_ptr<MessageWriter<false>> writer_;
+  std::function<void(Sent)> done_;
   std::string request_;  // the id of the one that is held
   Charge charge_;        // of the request
   Charge answer_charge_;
   State state_ = State::kReading;
-  Clock::time_point since_;  // the beginning of what the state's time limit counts from
+  Clock::time_point since_;    // the beginning of what the state's time limit counts from
+  asio::mutable_buffer into_;  // where the next piece of the body is wanted ...
+  Taken taken_;                // ... and by whom; null if nobody waits for it
+  Clock::time_point given_at_;
   std::size_t lingered_ = 0;
-  bool fresh_ = true;  // nothing has been answered yet
+  std::size_t most_lingering_ = kMostLingering;
+  unsigned version_ = 11;
+  bool uploading_ = false;  // some of the request's body is still to come
+  bool streams_ = false;    // the answer is passed on in pieces
+  bool head_only_ = false;  // the answer has no body, whatever its head says
+  bool fresh_ = true;       // nothing has been answered yet
   bool waiting_ = false;
   bool keep_alive_ = true;
 };
@@ -294,10 +415,15 @@
   for (const SessionPtr& session : sessions_) session->Abandon();
 }
 
-void Inbound::Respond(const SessionPtr& session, HttpResponse response, Charge charge) {
-  session->Respond(std::move(response), std::move(charge));
+Inbound::Reply Inbound::Whole(HttpResponse response) {
+  Reply reply;
+  reply.message.head = std::move(response.base());
+  reply.message.held = std::make_shared<const std::string>(std::move(response.body()));
+  return reply;
 }
 
+void Inbound::Respond(const SessionPtr& session, Reply reply) { session->Respond(std::move(reply)); }
+
 void Inbound::Reject(const SessionPtr& session, const Fault& fault) { session->Reject(fault); }
 
 void Inbound::Accept() {
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 
+#include "body.hpp"
 #include "budget.hpp"
 #include "merlinrun/balancer.hpp"
 #include "protocol.hpp"
@@ -29,17 +30,21 @@
     std::size_t kept = SIZE_MAX;  // beyond so many, idle ones make room for new ones
     // Times, in microseconds. Each counts from a beginning that the client cannot move: what trickles in
     // extends none of them.
-    Micros request = 2'000'000;     // from its connection, or on a kept one its first byte, to its last
-    Micros answer = 5'000'000;      // for the client to read its answer
-    Micros idle = 6'000'000;        // for a kept connection between requests
+    Micros request = 2'500'000;  // from its connection, or on a kept one its first byte, to its head's last
+    Micros answer = 5'000'000;   // for the client to read its answer, or the next piece of a long one
+    Micros idle = 6'000'000;     // for a kept connection between requests
     Micros idle_least = 2'000'000;  // where room is short, one that has been idle for less is closed last
     Micros linger = 1'000'000;      // for the client to read the answer that closes its connection
     Micros sweep = 200'000;         // how often the times are looked at
+    std::size_t body_rate =
+        48'000;  // bytes a second that a body has to come in at, beyond the time of a head
   };
   struct Events {
-    // The request is answered by one call of Respond or Reject, from in here or later.
-    std::function<void(const SessionPtr&, HttpRequest)> on_request;
-    std::function<void(const std::string& request)> on_gone;  // the client left during its request
+    // The request is answered by one call of Respond or Reject, from in here or later. Its body is held whole
+    // or comes in as it is asked for.
+    std::function<void(const SessionPtr&, Message<true>)> on_request;
+    // The client left during its request, or spoilt what was still to come of it.
+    std::function<void(const std::string& request)> on_gone;
     // A request that would be in order, but that there is no memory for: it has been refused.
     std::function<void(const RequestHeader&)> on_turned_away;
     std::function<bool()> ready;
@@ -53,9 +58,15 @@
   Inbound(const Inbound&) = delete;
   Inbound& operator=(const Inbound&) = delete;
 
-  // Answers the session's request; `charge` is held until the answer is written. Does nothing if the client
-  // has gone.
-  static void Respond(const SessionPtr& session, HttpResponse response, Charge charge = {});
+  enum class Sent { kWhole, kBroken, kClientGone };
+  struct Reply {
+    Message<false> message;
+    Charge charge;                   // held until it is written
+    std::function<void(Sent)> done;  // what became of it
+  };
+  static Reply Whole(HttpResponse response);
+  // Answers the session's request.
+  static void Respond(const SessionPtr& session, Reply reply);
   // The same for a request that is wrong: its connection is closed, as what is behind it cannot be trusted.
   static void Reject(const SessionPtr& session, const Fault& fault);
 
@@ -93,8 +104,8 @@
   asio::steady_timer sweep_;
   bool sweeping_ = false;
   bool draining_ = false;
-  std::array<char, kReadSize> input_{};  // one for all: it holds nothing from one handler to the next
-  std::list<SessionPtr> sessions_;       // the one whose last answer is oldest first
+  std::array<char, kPiece> input_{};  // one for all: it holds nothing from one handler to the next
+  std::list<SessionPtr> sessions_;    // the one whose last answer is oldest first
 };
 
 }  // namespace merlinrun::net
--- a/src/net/protocol.hpp
+++ b/src/net/protocol.hpp
@@ -16,14 +16,20 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
-using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
-inline constexpr std::size_t kMostBody = std::size_t{64} * 1024;
+inline constexpr std::size_t kMostBody = std::size_t{32} << 20;
+// A body is held whole up to here: a request can be sent again then, and a small answer is passed on only
+// when it is known to be whole. What is larger is passed on in pieces.
+inline constexpr std::size_t kMostHeld = std::size_t{64} * 1024;
+inline constexpr std::size_t kPiece = std::size_t{16} * 1024;
+// What passing a body on in pieces takes beside what is held of it: a piece and one read, with their
+// overhead.
+inline constexpr std::size_t kStreamCost = 3 * kPiece;
 inline constexpr std::size_t kMostHeader = std::size_t{8} * 1024;
 inline constexpr std::size_t kReadSize = std::size_t{8} * 1024;
 // What a connection holds unparsed: one header and one read.
-inline constexpr std::size_t kMostUnparsed = kMostHeader + kReadSize;
+inline constexpr std::size_t kMostUnparsed = kMostHeader + kPiece;
 
 inline constexpr const char* kIdHeader = "Req-Id";
 inline constexpr const char* kClassHeader = "Req-Kind";
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -43,8 +43,10 @@
 // Of a shared listener the next process takes what comes. A kept connection that has been idle for so long is
 // hardly the one that its client uses next: guards against a close that crosses a request.
 constexpr Micros kIdleAfterTakeover = 300 * kMs;
-constexpr Micros kLastWords = 100 * kMs;  // for the answers given at that moment to be read
+constexpr Micros kLastWords = 300 * kMs;  // for the answers given at that moment to be read
 constexpr Micros kDrainPoll = 20 * kMs;
+// A body that comes in pieces may take so long in all; what it has to move at is the connections' affair.
+constexpr Micros kMostUpload = 600 * kSecond;
 // How often what is shared with another process is looked at: what it has done holds here within 1 s.
 constexpr auto kLookEvery = std::chrono::milliseconds(200);
 // The log says at most once in so long which answers were no success, and nothing while all are.
@@ -152,7 +154,7 @@
 
 void Sidecar::Start() {
   Inbound::Events events;
-  events.on_request = [this](const Inbound::SessionPtr& session, HttpRequest request) {
+  events.on_request = [this](const Inbound::SessionPtr& session, Message<true> request) {
     OnRequest(session, std::move(request));
   };
   events.on_gone = [this](const std::string& id) { OnClientGone(id); };
@@ -249,7 +251,7 @@
 
 // ---- A request's life ----
 
-std::optional<Fault> Sidecar::Check(const HttpRequest& request, int request_class) const {
+std::optional<Fault> Sidecar::Check(const RequestHeader& request, int request_class) const {
   if (request_class < 0) return Fault{http::status::not_found, "unknown Req-Kind\n"};
   if (calls_.count(std::string(View(request[kIdHeader]))) > 0)
     return Fault{http::status::conflict, "Req-Id is in use\n"};
@@ -258,8 +260,8 @@
 }
 
 // How long there is for the final answer: what the client says, its class's deadline at most.
-Micros Sidecar::BudgetOf(const HttpRequest& request, int request_class) const {
-  Micros budget = config_.wire.settings.classes[static_cast<std::size_t>(request_class)].deadline;
+Micros Sidecar::BudgetOf(const RequestHeader& request, std::size_t request_class) const {
+  Micros budget = config_.wire.settings.classes[request_class].deadline;
   if (const auto seconds = ParseDecimal(View(request[kDeadlineHeader]))) {
     const auto told = static_cast<Micros>(*seconds * static_cast<double>(kSecond));
     budget = budget > 0 ? std::min(budget, told) : told;
@@ -268,35 +270,38 @@
   return drain_end_ > 0 ? std::clamp<Micros>(drain_end_ - Now(), 0, budget) : budget;
 }
 
-void Sidecar::OnRequest(const Inbound::SessionPtr& session, HttpRequest request) {
-  const std::string id(View(request[kIdHeader]));
-  const int request_class = ClassIndex(View(request[kClassHeader]));
-  if (const auto fault = Check(request, request_class)) {
+void Sidecar::OnRequest(const Inbound::SessionPtr& session, Message<true> request) {
+  const std::string id(View(request.head[kIdHeader]));
+  const int request_class = ClassIndex(View(request.head[kClassHeader]));
+  if (const auto fault = Check(request.head, request_class)) {
     Note(fault->text);
     return Inbound::Reject(session, *fault);
   }
   const Micros now = Now();
-  const Micros budget = BudgetOf(request, request_class);
+  const Micros budget = BudgetOf(request.head, static_cast<std::size_t>(request_class));
 
   counters_.Take(static_cast<std::size_t>(request_class));
   Call& call = calls_[id];
   call.request_class = static_cast<std::size_t>(request_class);
   call.request = std::move(request);
+  call.partial = call.request.rest != nullptr;
   call.session = session;
-  call.deadline = now + budget;
+  call.deadline = now + (call.partial ? kMostUpload : budget);
   call.timer = std::make_unique<asio::steady_timer>(io_);
   Watch(id, call);
 
   merlinrun::Request in;
   in.id = id;
   in.request_class = request_class;
-  in.tenant = TenantIndex(View(call.request[kTenantHeader]));
+  const auto& head = call.request.head;
+  in.tenant = TenantIndex(View(head[kTenantHeader]));
   in.budget = budget;
-  in.repeated = call.request[kRepeatHeader] == "1";
-  in.write = call.request.method() != http::verb::get;
-  if (const auto cost = ParseDecimal(View(call.request[kCostHeader])); cost && *cost < 1e12)
+  in.partial = call.partial;
+  in.repeated = head[kRepeatHeader] == "1";
+  in.write = head.method() != http::verb::get;
+  if (const auto cost = ParseDecimal(View(head[kCostHeader])); cost && *cost < 1e12)
     in.cost = static_cast<Micros>(*cost);
-  const std::string key(KeyOf(View(call.request.target())));
+  const std::string key(KeyOf(View(head.target())));
   in.key = key;
   balancer_->OnRequest(now, in);
   EraseIfOver(id);
@@ -314,15 +319,30 @@
 
 void Sidecar::OnAnswer(const std::string& id, int attempt, UpstreamAnswer answer) {
   const auto it = calls_.find(id);
-  if (it == calls_.end()) return;
-  if (answer.result == Result::kSuccess && it->second.session != nullptr) {
-    HttpResponse response(http::status::ok, 11);
-    if (const auto type = answer.response[http::field::content_type]; !type.empty())
-      response.set(http::field::content_type, type);
-    response.body() = std::move(answer.response.body());
-    Answer(it->second, Counters::End::kServed, std::move(response), std::move(answer.charge));
+  const bool wanted = it != calls_.end() && it->second.session != nullptr;
+  const Result result = answer.result;
+  const LoadReport load = answer.load;
+  if (result == Result::kSuccess && wanted) {
+    PassOn(it->second, std::move(answer));
+  } else if (answer.message.rest != nullptr) {
+    answer.message.rest->Stop();
   }
-  Conclude(id, attempt, answer.result, answer.load);
+  Conclude(id, attempt, result, load);
+}
+
+// The last byte of a request that came in pieces has been written to a server: its times begin.
+void Sidecar::OnSent(const std::string& id, int number) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end() || !std::exchange(it->second.partial, false)) return;
+  Call& call = it->second;
+  Attempt& attempt = call.attempts[static_cast<std::size_t>(number)];
+  const Micros now = Now();
+  const Micros budget = BudgetOf(call.request.head, call.request_class);
+  call.deadline = now + budget;
+  attempt.sent = now;
+  attempt.expires = attempt.timeout > 0 ? std::min(call.deadline, now + attempt.timeout) : call.deadline;
+  Watch(id, call);
+  balancer_->OnWhole(now, id, budget);
 }
 
 // Tells the module, once, what became of an attempt.
@@ -339,6 +359,7 @@
   outcome.result = result;
   outcome.elapsed = std::max<Micros>(now - ended.sent, 0);
   outcome.settled = it->second.session == nullptr;
+  outcome.spent = it->second.spent;
   outcome.load = load;
   balancer_->OnOutcome(now, outcome);
   EraseIfOver(id);
@@ -353,9 +374,32 @@
   counters_.Finish(static_cast<std::size_t>(request_class), Counters::End::kRefused);
 }
 
-void Sidecar::Answer(Call& call, Counters::End end, HttpResponse response, Charge charge) {
+void Sidecar::Answer(Call& call, Counters::End end, HttpResponse response) {
   counters_.Finish(call.request_class, end);
-  Inbound::Respond(std::exchange(call.session, nullptr), std::move(response), std::move(charge));
+  Inbound::Respond(std::exchange(call.session, nullptr), Inbound::Whole(std::move(response)));
+}
+
+// A server's answer. One that goes on in pieces has ended when the last of them has gone.
+void Sidecar::PassOn(Call& call, UpstreamAnswer answer) {
+  Inbound::Reply reply;
+  reply.message.head.result(http::status::ok);
+  if (const auto type = answer.message.head[http::field::content_type]; !type.empty())
+    reply.message.head.set(http::field::content_type, type);
+  reply.message.held = std::move(answer.message.held);
+  reply.message.rest = std::move(answer.message.rest);
+  reply.message.length = answer.message.length;
+  reply.charge = std::move(answer.charge);
+  if (reply.message.rest == nullptr) {
+    counters_.Finish(call.request_class, Counters::End::kServed);
+  } else {
+    reply.done = [this, request_class = call.request_class](Inbound::Sent sent) {
+      if (sent == Inbound::Sent::kBroken) Note("failed in the middle of an answer");
+      counters_.Finish(request_class, sent == Inbound::Sent::kWhole    ? Counters::End::kServed
+                                      : sent == Inbound::Sent::kBroken ? Counters::End::kFailed
+                                                                       : Counters::End::kClientGone);
+    };
+  }
+  Inbound::Respond(std::exchange(call.session, nullptr), std::move(reply));
 }
 
 void Sidecar::Note(const char* why) {
@@ -422,13 +466,18 @@
 }
 
 // What the protocol names and nothing else: whatever else came along may mean something to a server.
-HttpRequest Sidecar::Forwarded(const Call& call, Micros left) const {
-  HttpRequest out(call.request.method(), call.request.target(), 11);
+Message<true> Sidecar::Forwarded(const Call& call, Micros left) {
+  Message<true> out;
+  const auto& in = call.request.head;
+  out.head.method(in.method());
+  out.head.target(in.target());
+  out.head.version(11);
   for (const char* name : kRequestHeaders)
-    if (const auto it = call.request.find(name); it != call.request.end()) out.set(name, it->value());
-  out.set(kDeadlineHeader, Seconds(left));
-  out.body() = call.request.body();
-  out.prepare_payload();
+    if (const auto it = in.find(name); it != in.end()) out.head.set(name, it->value());
+  out.head.set(kDeadlineHeader, Seconds(left));
+  out.held = call.request.held;
+  out.rest = call.request.rest;
+  if (out.rest != nullptr) out.length = call.request.length;
   return out;
 }
 
@@ -459,15 +508,27 @@
   const int number = static_cast<int>(call.attempts.size());
   Attempt attempt;
   attempt.sent = now;
-  attempt.expires = timeout > 0 ? std::min(call.deadline, now + timeout) : call.deadline;
-  if (call.session == nullptr || now >= attempt.expires) {
+  attempt.timeout = timeout;
+  attempt.expires = timeout > 0 && !call.partial ? std::min(call.deadline, now + timeout) : call.deadline;
+  if (call.session == nullptr || call.spent || now >= attempt.expires) {
     call.attempts.push_back(attempt);
     asio::post(io_, [this, id, number] { Conclude(id, number, Result::kNeverSent); });
     return;
   }
-  attempt.upstream =
-      upstream_.Send(server, Forwarded(call, attempt.expires - now),
-                     [this, id, number](UpstreamAnswer answer) { OnAnswer(id, number, std::move(answer)); });
+  Upstream::Events events;
+  events.done = [this, id, number](UpstreamAnswer answer) { OnAnswer(id, number, std::move(answer)); };
+  if (call.partial) {
+    events.drawn = [this, id] {
+      const auto drawn = calls_.find(id);
+      if (drawn == calls_.end()) return;
+      drawn->second.spent = true;
+      drawn->second.request.held.reset();
+      drawn->second.request.rest.reset();
+    };
+    events.sent = [this, id, number] { OnSent(id, number); };
+  }
+  const Micros left = call.partial ? BudgetOf(call.request.head, call.request_class) : attempt.expires - now;
+  attempt.upstream = upstream_.Send(server, Forwarded(call, left), std::move(events));
   call.attempts.push_back(attempt);
   if (attempt.expires < call.deadline) Watch(id, call);
 }
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -59,12 +59,15 @@
     Upstream::AttemptId upstream = 0;
     Micros sent = 0;
     Micros expires = 0;
+    Micros timeout = 0;  // from the last byte of its request, if that is partial
     bool out = true;
     Result result = Result::kNeverSent;  // once it is no longer out
   };
   // A request, from its arrival until it has its answer and its last attempt is resolved.
   struct Call {
-    HttpRequest request;
+    Message<true> request;
+    bool partial = false;         // its body is still coming in
+    bool spent = false;           // some of its body has been passed on and is not held
     Inbound::SessionPtr session;  // null once it has been answered or its client has gone
     std::size_t request_class = 0;
     Micros deadline = 0;  // the final answer is owed before
@@ -87,7 +90,8 @@
   Micros Now() const;
   void OnList(ListUpdate::Kind kind, const EndpointList& list);
   void OnDiscoveryFailed();
-  void OnRequest(const Inbound::SessionPtr& session, HttpRequest request);
+  void OnRequest(const Inbound::SessionPtr& session, Message<true> request);
+  void OnSent(const std::string& id, int attempt);
   void OnClientGone(const std::string& id);
   void OnAnswer(const std::string& id, int attempt, UpstreamAnswer answer);
   void Conclude(const std::string& id, int attempt, Result result, const LoadReport& load = {});
@@ -96,16 +100,17 @@
   Management::Reply OnBan(const std::string& server, bool out);
   void SetBan(const std::string& server, bool out);
   void OnTurnedAway(const RequestHeader& header);
-  void Answer(Call& call, Counters::End end, HttpResponse response, Charge charge = {});
+  void Answer(Call& call, Counters::End end, HttpResponse response);
+  void PassOn(Call& call, UpstreamAnswer answer);
   // Counts a final answer that is no success, for the log. `why` must be a constant.
   void Note(const char* why);
   void LogAnswers();
   void Watch(const std::string& id, Call& call);
   void OnDue(const std::string& id);
   void EraseIfOver(const std::string& id);
-  HttpRequest Forwarded(const Call& call, Micros left) const;
-  std::optional<Fault> Check(const HttpRequest& request, int request_class) const;
-  Micros BudgetOf(const HttpRequest& request, int request_class) const;
+  static Message<true> Forwarded(const Call& call, Micros left);
+  std::optional<Fault> Check(const RequestHeader& request, int request_class) const;
+  Micros BudgetOf(const RequestHeader& request, std::size_t request_class) const;
   int ClassIndex(std::string_view name) const;
   int TenantIndex(std::string_view name) const;
   // Looks at what is shared with another process of this sidecar, again and again.
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,23 +29,23 @@
 
 // The log says at most once in so long what went wrong, and nothing while nothing does.
 constexpr auto kLogEvery = std::chrono::seconds(1);
-constexpr const char* kTroubles[] = {"not listed",      "no room",     "dial refused", "dial timed out",
-                                     "dial stale",      "request cut", "early answer", "reset on fresh",
-                                     "reset on reused", "unreadable"};
+constexpr const char* kTroubles[] = {"not listed",      "no room",     "dial refused",    "dial timed out",
+                                     "dial stale",      "request cut", "early answer",    "reset on fresh",
+                                     "reset on reused", "unreadable",  "answer broke off"};
 
 Micros Since(Clock::time_point start) {
   return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - start).count();
 }
 Micros Now() { return Since({}); }
 
-bool Declined(const HttpResponse& response) {
+bool Declined(const ResponseHeader& response) {
   const bool status = response.result() == http::status::service_unavailable ||
                       response.result() == http::status::gateway_timeout;
   return status && response[kDeclinedHeader] == "1";
 }
 
 // A server's 503 without the header proves nothing: it may have run.
-Result ResultOf(const HttpResponse& response) {
+Result ResultOf(const ResponseHeader& response) {
   if (response.result() == http::status::ok) return Result::kSuccess;
   return Declined(response) ? Result::kRefused : Result::kError;
 }
@@ -63,30 +64,27 @@
   void CloseIdle();
 };
 
-class Upstream::Connection : public std::enable_shared_from_this<Connection> {
+// Is the source of its answer's body too, where that is passed on in pieces.
+class Upstream::Connection : public BodySource, public std::enable_shared_from_this<Connection> {
  public:
   struct Job {
     AttemptId id;
-    Done done;
+    Events events;
   };
 
   Connection(Upstream& pool, std::shared_ptr<Server> server)
-      : pool_(pool),
-        server_(std::move(server)),
-        life_(server_->life),
-        socket_(pool.io_),
-        dial_timer_(pool.io_) {}
+      : pool_(pool), server_(std::move(server)), life_(server_->life), socket_(pool.io_), timer_(pool.io_) {}
 
-  void Dial(Job job, HttpRequest request) {
+  void Dial(Job job, Message<true> request) {
     job_.emplace(std::move(job));
-    request_ = std::move(request);
+    request_.emplace(std::move(request));
     ErrorCode error;
     socket_.open(server_->address.protocol(), error);
     if (error) return FailLater();
     socket_.set_option(Tcp::no_delay(true), error);
     if (pool_.limits_.dial_timeout > 0) {
-      dial_timer_.expires_after(std::chrono::microseconds(pool_.limits_.dial_timeout));
-      dial_timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
+      timer_.expires_after(std::chrono::microseconds(pool_.limits_.dial_timeout));
+      timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
         // The time may run out in the very turn of the loop in which the attempt is given up.
         if (!stopped && self->dialing_ && !self->closed_)
           self->Fail(Result::kUnreachable, Trouble::kSlowDial);
@@ -97,9 +95,9 @@
                           [self = shared_from_this()](ErrorCode failed) { self->OnDialed(failed); });
   }
 
-  void Start(Job job, HttpRequest request) {
+  void Start(Job job, Message<true> request) {
     job_.emplace(std::move(job));
-    request_ = std::move(request);
+    request_.emplace(std::move(request));
     idled_ = std::max<Micros>(Since(idle_since), 1);
     Write();
   }
@@ -108,7 +106,7 @@
   void Close() {
     if (closed_) return;
     Abandon();
-    dial_timer_.cancel();
+    timer_.cancel();
     pool_.Forget(*this);
   }
 
@@ -117,6 +115,8 @@
     closed_ = true;
     job_.reset();
     charge_ = {};
+    taken_ = nullptr;
+    if (writer_ != nullptr) std::exchange(writer_, nullptr)->Stop();
     ErrorCode ignored;
     socket_.close(ignored);
   }
@@ -134,18 +134,31 @@
   Server& server() { return *server_; }
   Clock::time_point idle_since;
 
+  // ---- What is still to come of the answer's body ----
+
+  void ReadSome(asio::mutable_buffer into, Taken taken) override {
+    into_ = into;
+    taken_ = std::move(taken);
+    moved_at_ = Clock::now();
+    asio::post(pool_.io_, [self = shared_from_this()] { self->Supply(); });
+  }
+
+  void Stop() override {
+    if (relaying_) Close();
+  }
+
  private:
   void FailLater() {
     pool_.Note(Trouble::kRefusedDial, server_->info.id);
     asio::post(pool_.io_, [self = shared_from_this()] {
-      if (!self->closed_) self->Finish(Result::kUnreachable, {}, /*reuse=*/false);
+      if (!self->closed_) self->Finish(Result::kUnreachable, /*reuse=*/false);
     });
   }
 
   void OnDialed(ErrorCode error) {
     if (closed_) return;
     dialing_ = false;
-    dial_timer_.cancel();
+    timer_.cancel();
     // A look at the list after the wait: guards against sending to a server that has meanwhile been told to
     // drain, is gone, or has restarted and is cold. Nothing is written, so it never ran.
     if (error) return Fail(Result::kUnreachable, Trouble::kRefusedDial);
@@ -160,35 +173,65 @@
     whole_ = false;
     interim_ = 0;
     answering_ = false;
-    http::async_write(socket_, request_,
-                      [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
+    moved_at_ = Clock::now();
+    MessageWriter<true>::Events events;
+    if (request_->rest != nullptr) {
+      events.drawn = [this] { job_->events.drawn(); };
+      events.progress = [this] { moved_at_ = Clock::now(); };
+      ExpectProgress();
+    }
+    events.done = [this](ErrorCode error, bool source_failed) { OnWritten(error, source_failed); };
+    writer_ =
+        std::make_shared<MessageWriter<true>>(shared_from_this(), socket_, std::move(*request_),
+                                              /*keep_alive=*/true, Unframed::kChunked, std::move(events));
+    request_.reset();
+    writer_->Start();
   }
 
-  void OnWritten(ErrorCode error) {
+  void OnWritten(ErrorCode error, bool source_failed) {
     writing_ = false;
-    request_ = {};
-    if (!error) pool_.counters_.CountAttempt();  // also of one that has been given up meanwhile
-    if (closed_) return;
+    writer_.reset();
     whole_ = !error;
     // An unfinished request is one that no server begins.
     if (error) {
-      CountLost();
+      if (!source_failed) CountLost();
       return Fail(Result::kUnreachable, Trouble::kCutRequest);
     }
-    if (broken_) FailReset();
+    pool_.counters_.CountAttempt();
+    if (job_->events.sent) job_->events.sent();
+    if (!closed_ && broken_) FailReset();
+  }
+
+  // Looks now and then whether a body still moves. Guards against a server that stops taking a request or
+  // giving an answer half-way and keeps the connection.
+  void ExpectProgress() {
+    timer_.expires_after(std::chrono::microseconds(pool_.limits_.silence / kSweeps));
+    timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
+      if (stopped || self->closed_ || !(self->writing_ || self->relaying_)) return;
+      const bool servers_turn = self->writing_ ? !self->writer_->drawing() : self->taken_ != nullptr;
+      if (!servers_turn) self->moved_at_ = Clock::now();
+      if (Since(self->moved_at_) < self->pool_.limits_.silence) return self->ExpectProgress();
+      if (self->relaying_) return self->Break(asio::error::timed_out);
+      self->Fail(Result::kUnreachable, Trouble::kCutRequest);
+    });
   }
 
-  // Stays posted while the connection lives, so that a peer's close is seen when it comes.
+  // Stays posted while the connection lives, so that a peer's close is seen when it comes; not while an
+  // answer is passed on, which reads as much as is asked for.
   void Read() {
+    const std::size_t room = std::min(relaying_ ? kPiece : kReadSize, buffer_.max_size() - buffer_.size());
+    if (room == 0)
+      return relaying_ ? Break(http::error::buffer_overflow) : Fail(Result::kReset, Trouble::kUnreadable);
     socket_.async_read_some(
-        buffer_.prepare(kReadSize),
+        buffer_.prepare(room),
         [self = shared_from_this()](ErrorCode error, std::size_t n) { self->OnRead(error, n); });
   }
 
   void OnRead(ErrorCode error, std::size_t n) {
     if (closed_) return;
-    if (error) return OnEnd();
-    buffer_.commit(n);
+    if (!error) buffer_.commit(n);
+    if (relaying_) return error ? OnRelayEnd(error) : Supply();
+    if (error) return OnEnd(error);
     if (!job_) return Close();  // nobody asked
     // Nothing that comes before the request has been written whole can be its answer. Closing ends the
     // request half-written, and no server begins such a one.
@@ -197,25 +240,40 @@
     // A spoilt answer is like none: the request may have run, and its answer is lost.
     if (!Parse()) return Fail(Result::kReset, Trouble::kUnreadable);
     if (parser_->is_done()) return Complete();
+    if (parser_->is_header_done() && held_.size() >= MostHeld()) return Relay();
     Read();
   }
 
   void NextAnswer() {
+    held_ = {};
     parser_.emplace();
     parser_->eager(false);  // the header alone: it is checked before the body begins
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
   }
 
+  // How much of the answer is held before it is passed on. One that is known to be small is held whole: if it
+  // breaks off, its request may still be repeated. One that has no length is passed on before it is late.
+  std::size_t MostHeld() const {
+    const auto length = parser_->content_length();
+    if (!length) return kPiece;
+    return *length > kMostHeld ? 0 : static_cast<std::size_t>(*length);
+  }
+
   // False if it is no answer that the protocol knows.
   bool Parse() {
+    std::array<char, kReadSize> piece;
     while (buffer_.size() > 0 && !parser_->is_done()) {
       const bool had_header = parser_->is_header_done();
+      const std::size_t before = buffer_.size();
+      const std::size_t room = had_header ? std::min(piece.size(), MostHeld() - held_.size()) : 0;
       ErrorCode error;
-      buffer_.consume(parser_->put(buffer_.data(), error));
-      if (error && error != http::error::need_more) return false;
+      const std::size_t n = Feed(*parser_, buffer_, asio::buffer(piece.data(), room), error);
+      if (error) return false;
+      held_.append(piece.data(), n);
       if (!had_header && parser_->is_header_done() && !TakeHeader()) return false;
-      if (error) return true;
+      if (parser_->is_header_done() && !parser_->is_done() && held_.size() >= MostHeld()) return true;
+      if (buffer_.size() == before) return true;  // more of it is needed
     }
     return true;
   }
@@ -229,26 +287,89 @@
       NextAnswer();
       return true;
     }
-    parser_->eager(true);
+    const std::size_t most = MostHeld();
     const auto length = parser_->content_length();
-    return charge_.Take(pool_.budget_, length ? static_cast<std::size_t>(*length) : kMostBody);
+    return charge_.Take(pool_.budget_, length && *length <= most ? most : most + kStreamCost);
   }
 
   // The peer closed or reset the connection.
-  void OnEnd() {
+  void OnEnd(ErrorCode error) {
     if (!job_) return Close();
-    if (!writing_) return FailReset();
+    if (!writing_) {
+      if (error == asio::error::eof && EndsWithTheConnection()) return Complete();
+      return FailReset();
+    }
     // Whether the last byte went out shows when the write ends; closing the socket ends it.
     broken_ = true;
     ErrorCode ignored;
     socket_.close(ignored);
   }
 
-  void Complete() {
-    HttpResponse response = parser_->release();
-    const bool reuse = whole_ && response.keep_alive() && buffer_.size() == 0;
-    const Result result = ResultOf(response);
-    Finish(result, std::move(response), reuse);
+  // An answer without a length ends where its connection ends in good order.
+  bool EndsWithTheConnection() {
+    if (!parser_ || !parser_->is_header_done() || !parser_->need_eof()) return false;
+    ErrorCode error;
+    parser_->put_eof(error);
+    return !error && parser_->is_done();
+  }
+
+  bool Reusable() const {
+    return whole_ && parser_->get().keep_alive() && !parser_->need_eof() && buffer_.size() == 0;
+  }
+
+  void Complete() { Finish(ResultOf(parser_->get()), Reusable()); }
+
+  // The answer is larger than what is held: from here on it is the client's, piece by piece. What a server
+  // says at length that is no success is of no use.
+  void Relay() {
+    const Result result = ResultOf(parser_->get());
+    if (result != Result::kSuccess) return Finish(result, /*reuse=*/false);
+    relaying_ = true;
+    UpstreamAnswer answer = Answer(result);
+    answer.message.rest = shared_from_this();
+    if (const auto length = parser_->content_length()) answer.message.length = *length;
+    Job job = std::move(*job_);
+    job_.reset();
+    pool_.attempts_.erase(job.id);
+    moved_at_ = Clock::now();
+    ExpectProgress();
+    job.events.done(std::move(answer));
+  }
+
+  void Supply() {
+    if (!taken_ || closed_) return;
+    ErrorCode error;
+    const std::size_t n = Feed(*parser_, buffer_, into_, error);
+    if (error) return Break(error);
+    if (n == 0 && !parser_->is_done()) return Read();
+    const bool over = parser_->is_done();
+    const Taken taken = std::exchange(taken_, nullptr);
+    if (over) EndRelay();
+    taken({}, n, over);
+  }
+
+  void OnRelayEnd(ErrorCode error) {
+    if (error != asio::error::eof || !EndsWithTheConnection()) return Break(error);
+    Supply();
+  }
+
+  void EndRelay() {
+    const auto self = shared_from_this();
+    const bool reuse = Reusable();
+    relaying_ = false;
+    timer_.cancel();
+    parser_.reset();
+    if (!reuse) return Close();
+    Read();
+    pool_.Release(self);
+  }
+
+  void Break(ErrorCode error) {
+    const auto self = shared_from_this();
+    pool_.Note(Trouble::kBrokenAnswer, server_->info.id);
+    const Taken taken = std::exchange(taken_, nullptr);
+    Close();
+    if (taken) taken(error, 0, true);
   }
 
   void CountLost() {
@@ -262,13 +383,26 @@
 
   void Fail(Result result, Trouble trouble) {
     pool_.Note(trouble, server_->info.id);
-    Finish(result, {}, /*reuse=*/false);
+    parser_.reset();
+    Finish(result, /*reuse=*/false);
+  }
+
+  // What has come of the answer, if any.
+  UpstreamAnswer Answer(Result result) {
+    UpstreamAnswer answer;
+    answer.result = result;
+    answer.charge = std::move(charge_);
+    if (!parser_ || !parser_->is_header_done()) return answer;
+    answer.message.head = parser_->get().base();
+    answer.message.held = std::make_shared<const std::string>(std::exchange(held_, {}));
+    answer.load = ReadLoad(View(answer.message.head[kLoadHeader]));
+    return answer;
   }
 
-  void Finish(Result result, HttpResponse response, bool reuse) {
+  void Finish(Result result, bool reuse) {
     const auto self = shared_from_this();
     Job job = std::move(*job_);
-    Charge charge = std::move(charge_);
+    UpstreamAnswer answer = Answer(result);
     job_.reset();
     parser_.reset();
     pool_.attempts_.erase(job.id);
@@ -278,24 +412,27 @@
     } else {
       Close();
     }
-    const LoadReport load = ReadLoad(View(response[kLoadHeader]));
-    job.done({result, std::move(response), std::move(charge), load});
+    job.events.done(std::move(answer));
   }
 
   Upstream& pool_;
   const std::shared_ptr<Server> server_;
   const std::uint64_t life_;
   Tcp::socket socket_;
-  asio::steady_timer dial_timer_;
+  asio::steady_timer timer_;  // for the dial, then for the progress of what is passed on in pieces
   beast::flat_buffer buffer_{kMostUnparsed};
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::string held_;  // of the answer's body
   std::optional<Job> job_;
-  // Kept until its write has been told of, whatever became of the attempt: a write that is done when the
-  // attempt ends is told of all the same, and Beast then looks at the request once more.
-  HttpRequest request_;
+  std::optional<Message<true>> request_;  // until it is being written
+  std::shared_ptr<MessageWriter<true>> writer_;
+  asio::mutable_buffer into_;  // where the next piece of the answer is wanted ...
+  Taken taken_;                // ... and by whom; null if nobody waits for it
+  Clock::time_point moved_at_;
   Charge charge_;           // for the answer that is being read
   Micros idled_ = 0;        // how long it had stood idle before this request; 0 on a fresh one
   bool answering_ = false;  // some of the answer has come
+  bool relaying_ = false;   // the answer is being passed on in pieces
   int interim_ = 0;         // 1xx answers to this request
   bool dialing_ = false;
   bool writing_ = false;
@@ -364,30 +501,30 @@
   }
 }
 
-Upstream::AttemptId Upstream::Send(const std::string& id, HttpRequest request, Done done) {
+Upstream::AttemptId Upstream::Send(const std::string& id, Message<true> request, Events events) {
   ++sent_;
   const auto found = servers_.find(id);
   if (found == servers_.end() || !found->second->Up()) {
     Note(Trouble::kNotListed, id);
-    return FailLater(std::move(done));
+    return FailLater(std::move(events.done));
   }
   const std::shared_ptr<Server> server = found->second;
   ConnectionPtr connection = TakeIdle(*server);
   const AttemptId attempt = ++last_attempt_;
   if (connection != nullptr) {
     attempts_[attempt] = connection;
-    connection->Start({attempt, std::move(done)}, std::move(request));
+    connection->Start({attempt, std::move(events)}, std::move(request));
     return attempt;
   }
   if (open_ >= std::min(limits_.kept, limits_.connections) && !MakeRoom() && open_ >= limits_.connections) {
     Note(Trouble::kNoRoom, id);
-    return FailLater(std::move(done));
+    return FailLater(std::move(events.done));
   }
   connection = std::make_shared<Connection>(*this, server);
   ++open_;
   ++opened_;
   attempts_[attempt] = connection;
-  connection->Dial({attempt, std::move(done)}, std::move(request));
+  connection->Dial({attempt, std::move(events)}, std::move(request));
   return attempt;
 }
 
@@ -396,7 +533,7 @@
   const AttemptId attempt = ++last_attempt_;
   attempts_[attempt] = nullptr;
   asio::post(io_, [this, attempt, done = std::move(done)] {
-    if (attempts_.erase(attempt) > 0) done({Result::kUnreachable, {}, {}, {}});
+    if (attempts_.erase(attempt) > 0) done({});
   });
   return attempt;
 }
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "body.hpp"
 #include "budget.hpp"
 #include "counters.hpp"
 #include "discovery.hpp"
@@ -23,21 +24,30 @@
 
 struct UpstreamAnswer {
   Result result = Result::kUnreachable;
-  HttpResponse response;  // whole; of interest after a success
-  Charge charge;          // for its body
-  LoadReport load;        // what the server said of itself, whatever the result
+  Message<false> message;  // of interest after a success; what is not held of it is still to come
+  Charge charge;           // for its body
+  LoadReport load;         // what the server said of itself, whatever the result
 };
 
 class Upstream {
  public:
   using AttemptId = std::uint64_t;
   using Done = std::function<void(UpstreamAnswer)>;
+  struct Events {
+    Done done;
+    // Of a request that is not held whole: what follows is being asked for, so that it cannot be sent again;
+    // and its last byte has been written.
+    std::function<void()> drawn = nullptr;
+    std::function<void()> sent = nullptr;
+  };
   struct Limits {
     Micros keep_idle = 0;     // an idle connection is closed after so long; 0 = only when its peer does
     Micros dial_timeout = 0;  // 0 = as long as the attempt lasts
     // An idle connection is used again after so long: what its server sent beyond its last answer has come by
     // then and shows that it is of no further use.
     Micros rest = 25'000;
+    Micros silence =
+        4'000'000;  // a body that has not moved for so long through the server's fault is given up
     std::size_t connections = 512;
     std::size_t kept = SIZE_MAX;  // beyond so many, idle ones make room for new ones
   };
@@ -54,8 +64,9 @@
   // Takes a server out by hand, as if it drained, whatever the list says, or puts it back.
   void SetOut(const std::string& server, bool out);
 
-  // Starts an attempt. `done` is called once, from the loop and never from in here, unless it is given up.
-  AttemptId Send(const std::string& server, HttpRequest request, Done done);
+  // Starts an attempt. `done` is called once, from the loop and never from in here, unless it is given up. An
+  // answer that is passed on in pieces is done when it begins.
+  AttemptId Send(const std::string& server, Message<true> request, Events events);
   // Ends an attempt by closing its connection; its `done` is not called any more.
   void GiveUp(AttemptId attempt);
 
@@ -64,16 +75,17 @@
 
   // Why attempts ended without an answer that could be read; counted for the log.
   enum class Trouble {
-    kNotListed,    // the server drains or is gone
-    kNoRoom,       // every connection that may be open is at work
-    kRefusedDial,  // the server's machine said no
-    kSlowDial,     // nothing came within the dial timeout
-    kStaleDial,    // the list changed while it was dialling
-    kCutRequest,   // the connection broke before the request's last byte
-    kEarlyAnswer,  // something came before the request's last byte
-    kResetFresh,   // it broke after the request, the first on its connection
-    kResetReused,  // the same on a connection that had served before
-    kUnreadable,   // what came was no answer that the protocol knows
+    kNotListed,     // the server drains or is gone
+    kNoRoom,        // every connection that may be open is at work
+    kRefusedDial,   // the server's machine said no
+    kSlowDial,      // nothing came within the dial timeout
+    kStaleDial,     // the list changed while it was dialling
+    kCutRequest,    // the connection broke before the request's last byte
+    kEarlyAnswer,   // something came before the request's last byte
+    kResetFresh,    // it broke after the request, the first on its connection
+    kResetReused,   // the same on a connection that had served before
+    kUnreadable,    // what came was no answer that the protocol knows
+    kBrokenAnswer,  // it broke while it was passed on
     kCount
   };
 
--- a/src/net/validate.cpp
+++ b/src/net/validate.cpp
@@ -71,6 +71,10 @@
 
 bool HasClearFraming(const RequestHeader& header) { return OneFraming(header, header.version()); }
 
+bool ExpectsContinue(const RequestHeader& header) {
+  return beast::iequals(header[http::field::expect], "100-continue");
+}
+
 std::optional<Fault> CheckRequest(const RequestHeader& header) {
   const auto bad = [](const char* text) { return Fault{http::status::bad_request, text}; };
   if (static_cast<std::size_t>(std::distance(header.begin(), header.end())) > kMostFields)
@@ -79,14 +83,16 @@
   const auto length = View(header[http::field::content_length]);
   if (ParseDecimal(length).value_or(0) > static_cast<double>(kMostBody))
     return Fault{http::status::payload_too_large, "too large\n"};
-  if (header.count(http::field::expect) > 0)
-    return Fault{http::status::expectation_failed, "Expect is not supported\n"};
+  if (header.count(http::field::expect) > 1 ||
+      (header.count(http::field::expect) > 0 && !ExpectsContinue(header)))
+    return Fault{http::status::expectation_failed, "this Expect is not supported\n"};
   if (header.target().empty() || header.target().front() != '/' || header.target().size() > kMostTarget)
     return bad("the target is no path\n");
   if (Repeats(header)) return bad("a header field is repeated\n");
   if (header.method() == http::verb::get && HasBody(header)) return bad("GET with a body\n");
   if (header.target() == kReadyPath) {
-    if (header.method() != http::verb::get) return Fault{http::status::method_not_allowed, "GET alone\n"};
+    if (header.method() != http::verb::get)
+      return Fault{http::status::method_not_allowed, "GET alone\n", "GET"};
     return std::nullopt;
   }
   if (!IsName(View(header[kIdHeader]), kMostId)) return bad("no valid Req-Id\n");
@@ -100,7 +106,9 @@
 std::optional<Fault> CheckAgainstClass(const RequestHeader& header, Repeat repeat) {
   const bool keyed = header.count(kIdempotencyHeader) > 0;
   const auto method = repeat == Repeat::kSafe ? http::verb::get : http::verb::post;
-  if (header.method() != method) return Fault{http::status::method_not_allowed, "not this class's method\n"};
+  if (header.method() != method)
+    return Fault{http::status::method_not_allowed, "not this class's method\n",
+                 repeat == Repeat::kSafe ? "GET" : "POST"};
   if (keyed != (repeat == Repeat::kDeduplicated) ||
       (keyed && !IsName(View(header[kIdempotencyHeader]), kMostKey)))
     return Fault{http::status::bad_request, "Idempotency-Key does not fit the class\n"};
@@ -126,12 +134,6 @@
 }
 
 bool AcceptAnswer(const ResponseHeader& header) {
-  // One that ends with its connection could be cut off anywhere and look whole.
-  const bool bodiless = header.result_int() < 200 || header.result() == http::status::no_content ||
-                        header.result() == http::status::not_modified;
-  if (!bodiless && header.count(http::field::content_length) == 0 &&
-      header.count(http::field::transfer_encoding) == 0)
-    return false;
   return OneFraming(header, header.version()) &&
          ParseDecimal(View(header[http::field::content_length])).value_or(0) <=
              static_cast<double>(kMostBody);
--- a/src/net/validate.hpp
+++ b/src/net/validate.hpp
@@ -19,6 +19,7 @@
 struct Fault {
   http::status status;
   const char* text;
+  const char* allow = nullptr;  // the method that would do
 };
 
 // A request's framing and the form of its fields, whatever it asks for.
@@ -27,6 +28,8 @@
 // False if a message's length could be read in two ways.
 bool HasClearFraming(const RequestHeader& header);
 
+bool ExpectsContinue(const RequestHeader& header);
+
 // That a request is what its class says: method and key follow from whether it may be repeated.
 std::optional<Fault> CheckAgainstClass(const RequestHeader& header, Repeat repeat);
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -258,6 +258,7 @@
     held.request_class = static_cast<std::size_t>(in.request_class);
     held.arrived = now_;
     held.deadline = now_ + in.budget;
+    held.partial = in.partial;
     ClassLoad& load = load_[held.request_class];
     load.longest_budget = std::max(load.longest_budget, in.budget);
     held.late = in.budget < load.longest_budget - set_.tick &&
@@ -293,6 +294,7 @@
       held.settled_at = now_ + set_.settle_after_doubt;
     if (outcome.settled) held.ended = true;
     if (held.ended || held.AnyOut()) return Release(it);
+    if (outcome.spent) return End(it);
     switch (outcome.result) {
       case Result::kRefused:
       case Result::kUnreachable:
@@ -307,6 +309,15 @@
     }
   }
 
+  // A request is timed from its last byte, and so is its attempt.
+  void OnWhole(std::string_view request, Micros budget) {
+    auto it = held_.find(std::string(request));
+    if (it == held_.end() || !std::exchange(it->second.partial, false)) return;
+    it->second.arrived = now_;
+    it->second.deadline = now_ + budget;
+    if (it->second.AnyOut()) Alarm(it, ClassOf(it->second).aim);
+  }
+
   void OnClientGone(std::string_view request) {
     auto it = held_.find(std::string(request));
     if (it == held_.end()) return;
@@ -364,7 +375,8 @@
     pool.out_peak = std::max(static_cast<double>(++pool.out), pool.out_peak * (1 - 1 / kMixMemory));
     held.attempts.push_back({server, server->info.zone, server->info.cell, now_});
     sink_.Send(it->first, server->info.id, TimeOut(held));
-    if (const Micros late = held.arrived + ClassOf(held).aim - now_; late > 0) Alarm(it, late);
+    const Micros late = held.arrived + ClassOf(held).aim - now_;
+    if (late > 0 && !held.partial) Alarm(it, late);
   }
 
   // An attempt is given up when its answer would be worth nothing. Guards against servers kept busy with what
@@ -372,7 +384,7 @@
   Micros TimeOut(const Held& held) const {
     const RequestClass& c = ClassOf(held);
     if (c.aim <= 0 || c.late_worth > 0 || c.aim_stretch > 0) return 0;
-    return std::max<Micros>(held.arrived + c.aim - now_, set_.tick);
+    return held.partial ? c.aim : std::max<Micros>(held.arrived + c.aim - now_, set_.tick);
   }
 
   // ---- Overload: which work is let in ----
@@ -927,6 +939,10 @@
   state_->Advance(now);
   state_->OnRequest(request);
 }
+void Balancer::OnWhole(Micros now, std::string_view request, Micros budget) {
+  state_->Advance(now);
+  state_->OnWhole(request, budget);
+}
 void Balancer::OnResponseStarted(Micros now, std::string_view, int) {
   state_->Advance(now);  // the attempt is the client's now; its outcome still comes
 }
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -96,7 +96,8 @@
   std::size_t pool = 0;
   Micros arrived = 0;
   Micros deadline = 0;
-  double size = 1;  // expected work as a multiple of what is usual for its class
+  double size = 1;       // expected work as a multiple of what is usual for its class
+  bool partial = false;  // its body is still coming in
   bool ended = false;
   bool cancelled = false;  // what was out at its end is called off
   int refusals = 0;
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -363,6 +363,42 @@
   EXPECT_GT(share(true), 1 + young);
 }
 
+// A body that comes in slowly is nobody's lateness: times run from its last byte.
+TEST_F(BalancerTest, APartialRequestIsTimedFromItsLastByte) {
+  Start(MakeSettings(), 3);
+  Request request;
+  request.id = "r1";
+  request.request_class = 0;
+  request.budget = 5 * kSec;
+  request.partial = true;
+  balancer_->OnRequest(now_, request);
+  auto actions = sink_.Take();
+  ASSERT_EQ(actions.size(), 1u);  // and no alarm
+  EXPECT_EQ(actions[0].time, MakeSettings().classes[0].aim);
+  now_ += 20 * kSec;
+  balancer_->OnWhole(now_, "r1", 5 * kSec);
+  balancer_->OnWhole(now_, "r1", 5 * kSec);
+  actions = sink_.Take();
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_EQ(actions[0].kind, Kind::kTimer);
+  EXPECT_EQ(actions[0].time, MakeSettings().classes[0].aim);
+  const auto wait = Resolve("r1", 0, Result::kRefused);  // there is time for another attempt
+  ASSERT_EQ(wait.size(), 1u);
+  EXPECT_EQ(wait[0].kind, Kind::kTimer);
+}
+
+TEST_F(BalancerTest, WhatIsNoLongerHeldIsNotSentAgain) {
+  Start(MakeSettings(), 3);
+  Arrive("r1");
+  Outcome outcome{"r1", 0, Result::kUnreachable, 10 * kMs};
+  outcome.spent = true;
+  balancer_->OnOutcome(now_, outcome);
+  const auto end = Took();
+  ASSERT_EQ(end.size(), 1u);
+  EXPECT_EQ(end[0].kind, Kind::kRefuse);
+  EXPECT_EQ(balancer_->requests_held(), 0u);
+}
+
 // A sidecar that restarts knows nothing but its last list; many servers may be young in it at once.
 TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtYoungServers) {
   auto servers = MakeServers(4);
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -67,6 +67,15 @@
     ErrorCode ignored;
     asio::write(socket, asio::buffer(text), ignored);
   }
+  // For more than the kernel buffers: the loop has to run meanwhile.
+  void WriteLater(const std::string& text, bool close = false) {
+    const auto kept = std::make_shared<const std::string>(text);
+    asio::async_write(socket, asio::buffer(*kept),
+                      [self = shared_from_this(), kept, close](ErrorCode error, std::size_t) {
+                        self->written = !error;
+                        if (close) self->Close();
+                      });
+  }
   void Close() {
     ErrorCode ignored;
     socket.close(ignored);
@@ -88,6 +97,7 @@
   Tcp::socket socket;
   std::string received;
   bool ended = false;
+  bool written = false;  // what was to be written later has been
   std::function<void(Peer&)> on_data;
 
  private:
