--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -509,13 +509,13 @@
 // reactor, which would go on waking up for connections that are no longer its own.
 void Inbound::CloseListener() {
   if (!acceptor_.is_open()) return;
-  pause_.cancel();
   ErrorCode error;
   const auto listener = acceptor_.release(error);
   if (!error) ::close(listener);
 }
 
 void Inbound::StopAccepting() {
+  pause_.cancel();
   // Another process takes what waits in a queue that is shared.
   if (inherited_) return CloseListener();
   // What has connected may have sent its request: closing the listener on it would reset it unanswered.
--- a/src/net/management.cpp
+++ b/src/net/management.cpp
@@ -64,10 +64,9 @@
         [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnCall(error); });
   }
 
-  // Closes without a word to the owner: it has let go of this one.
+  // Closes without a word to the owner: it has let go of this one. Its timer finds that when it runs out.
   void Abandon() {
     owner_ = nullptr;
-    timer_.cancel();
     ErrorCode ignored;
     socket_.close(ignored);
   }
