Spread the first retry after a failed discovery by the number of sidecars

A fleet loses discovery together and came back to it within a second whatever its size (AskLater, kAskBase). The base is now a second for each eight siblings, so that the first round comes at about eight calls a second; still doubling, jittered and capped by ask_within, which the settings tell. Not taken: a longer fixed base, which small fleets would pay for in late news.

Each ended call is told in the log now, with its number, so the calls of a fleet can be added up.

Folders of others in $TMPDIR are no longer told as not understood.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -214,6 +214,7 @@
 }
 
 void Discovery::Open() {
+  ++calls_;
   stream_ = std::make_shared<Stream>(*this);
   stream_->Open();
 }
@@ -247,6 +248,8 @@
   stream_ = nullptr;
   if (bad_input && !std::exchange(complained_, true))  // once: it may say the same at each reopening
     std::fprintf(stderr, "discovery: the list is kept as it was: %.200s\n", reason.c_str());
+  std::fprintf(stderr, "discovery: call %llu ended: %.100s\n", static_cast<unsigned long long>(calls_),
+               reason.c_str());
   events_.on_failed();
   if (!timing_.reopens) return;
   // Jitter guards against all sidecars coming back in the same instant when discovery does.
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -82,6 +82,7 @@
   asio::steady_timer backoff_;
   std::shared_ptr<Stream> stream_;
   std::int64_t generation_ = kUnknown;
+  std::uint64_t calls_ = 0;  // made since the start
   int failures_ = 0;
   bool complained_ = false;
 };
--- a/src/net/shared_dir.cpp
+++ b/src/net/shared_dir.cpp
@@ -131,6 +131,7 @@
       if (name != own_name_) view.others = OtherLives(name) || view.others;
       continue;
     }
+    if (entry->d_type == DT_DIR && !StartsWith(name, kOutPrefix)) continue;  // others keep theirs here too
     std::string server = StartsWith(name, kOutPrefix) ? ReadRecord(path_ + "/" + name) : "";
     const bool whole = server.size() > 1 && server.back() == '\n';
     if (whole) server.pop_back();
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -125,6 +125,9 @@
 constexpr double kCrossingPriced = 0.05;
 // Asking discovery again after a failure waits random(0, min(ask_within, base * 2^n)).
 constexpr Micros kAskBase = kSecond;
+// The base is the longer the more sidecars there are: they lose discovery together, and it serves one call
+// after another. A fleet asks again at this rate at first, in calls a second.
+constexpr std::int64_t kAsksPerSecond = 8;
 
 // The one place that says which outcomes prove that the attempt never ran. Some servers also turn away what
 // they had begun: their refusal proves nothing.
@@ -163,7 +166,8 @@
 
   void OnServers(const ListUpdate& update) {
     if (update.kind == ListUpdate::Kind::kFailed) {
-      AskLater(Doubled(kAskBase, asks_failed_++, set_.ask_within));
+      AskLater(Doubled(std::max(kAskBase, kSecond * set_.siblings / kAsksPerSecond), asks_failed_++,
+                       set_.ask_within));
       return;
     }
     if (update.kind == ListUpdate::Kind::kStale) {
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1130,6 +1130,28 @@
   EXPECT_EQ(actions[0].time, 0);
 }
 
+// A large fleet that loses discovery at once does not come back to it at once.
+TEST_F(BalancerTest, TheFirstRetryOfALargeFleetIsSpreadByItsSize) {
+  const auto most_wait = [&](std::uint32_t siblings) {
+    Settings settings = MakeSettings();
+    settings.must_subscribe = true;
+    settings.siblings = siblings;
+    Micros most = 0;
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+      std::string error;
+      balancer_ = Balancer::Create(settings, seed, now_, sink_, error);
+      List(ListUpdate::Kind::kStale, MakeServers(4));
+      Fire(sink_.Take().at(0));
+      List(ListUpdate::Kind::kFailed, {});
+      most = std::max(most, sink_.Take().at(0).time);
+    }
+    return most;
+  };
+  EXPECT_NEAR(static_cast<double>(most_wait(3)), 1 * kSec, 0.1 * kSec);
+  EXPECT_NEAR(static_cast<double>(most_wait(48)), 6 * kSec, 0.6 * kSec);
+  EXPECT_NEAR(static_cast<double>(most_wait(300)), 10 * kSec, 1 * kSec);  // no more than ask_within
+}
+
 TEST_F(BalancerTest, AsksDiscoveryAgainAfterAFailureWithinTheTimeStated) {
   Settings settings = MakeSettings();
   settings.must_subscribe = true;
