--- a/src/net/shared_dir.cpp
+++ b/src/net/shared_dir.cpp
@@ -60,6 +60,13 @@
 
 }  // namespace
 
+std::string Printable(const std::string& text) {
+  std::string shown = text.substr(0, 100);
+  for (char& c : shown)
+    if (c < ' ' || c > '~') c = '?';
+  return shown;
+}
+
 SharedDir::SharedDir(std::string path) : path_(std::move(path)) {}
 
 SharedDir::~SharedDir() {
@@ -112,10 +119,7 @@
 
 void SharedDir::Tell(const std::string& name) {
   if (told_.size() >= kMostTold || !told_.insert(name).second) return;
-  std::string shown = name.substr(0, 100);
-  for (char& c : shown)
-    if (c < ' ' || c > '~') c = '?';
-  std::fprintf(stderr, "shared folder: not understood and left alone: %s\n", shown.c_str());
+  std::fprintf(stderr, "shared folder: not understood and left alone: %s\n", Printable(name).c_str());
 }
 
 SharedDir::View SharedDir::Look() {
--- a/src/net/shared_dir.hpp
+++ b/src/net/shared_dir.hpp
@@ -8,6 +8,9 @@
 
 namespace merlinrun::net {
 
+// For the log: text of others on one line, and not too much of it.
+std::string Printable(const std::string& text);
+
 class SharedDir {
  public:
   // An empty path is no folder: nothing is shared then.
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -218,7 +218,8 @@
   } else {
     banned_.erase(server);
   }
-  std::fprintf(stderr, "by hand: %s a server, %zu out now\n", out ? "out" : "back", banned_.size());
+  std::fprintf(stderr, "by hand: %s %s, %zu out now\n", out ? "out" : "back", Printable(server).c_str(),
+               banned_.size());
   balancer_->OnBan(Now(), server, out);
   upstream_.SetOut(server, out);
 }
--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -553,6 +553,25 @@
   EXPECT_TRUE(Body(*client) == body);
 }
 
+// The same the other way round: a server that does not read stops the client that writes. Nothing moves then,
+// and the request ends as one that no server has begun.
+TEST_F(StreamTest, AServerThatDoesNotReadHoldsTheClientBackUntilItIsGivenUp) {
+  Tcp::acceptor acceptor(io, Loopback());
+  Tcp::socket silent(io);
+  bool connected = false;
+  acceptor.async_accept(silent, [&](ErrorCode error) { connected = !error; });
+  Start({Entry("s1", acceptor.local_endpoint())});
+  const std::size_t size = std::size_t{32} << 20;
+  auto client = Connect(io, sidecar->address());
+  client->WriteLater(PostHead("r1", "Content-Length: " + std::to_string(size)) + std::string(size, 'x'));
+  ASSERT_TRUE(RunUntil(io, [&] { return connected; }));
+  RunFor(io, 300ms);
+  EXPECT_FALSE(client->written);
+  EXPECT_EQ(Status(*client), "503");
+  EXPECT_EQ(sidecar->counters().attempts(), 0U);
+  EXPECT_EQ(Pay().refused, 1U);
+}
+
 TEST_F(StreamTest, LongRequestsPassUnchangedAndAreCountedOnce) {
   const std::string body = Pattern(std::size_t{2} << 20);
   std::string received;
