Let young servers earn credit by what is usually served, also in an overload

AcceptYoung gave credit for what this sidecar is served, and an overload serves little, so newcomers idled as long as it lasted. Ruled out: bans not lifted (put back 8 of 8, used), the list (told each start within 1 s), one server that fails fast (it was passed over while another would do).

Credit is earned by what a server of its size is usually served in that time as well, learnt per unit of size while nothing presses; of the two sums the larger holds, so each bound by half of what fells a server still stands. Not taken: the peak of what was served (sidecars peak at different times and would add up to more than servers ever did), a faster warm-up (not told).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -123,6 +123,8 @@
 // From this price of a crossing on (share of the result) servers of other zones serve only what their own
 // zone's cannot; below it a choice from all servers gains more than the crossings cost.
 constexpr double kCrossingPriced = 0.05;
+// Seconds over which it is remembered what servers usually serve.
+constexpr double kServedSeconds = 10;
 // Asking discovery again after a failure waits random(0, min(ask_within, base * 2^n)).
 constexpr Micros kAskBase = kSecond;
 // The base is the longer the more sidecars there are: they lose discovery together, and it serves one call
@@ -158,7 +160,12 @@
 class Balancer::State {
  public:
   State(const Settings& settings, std::uint64_t seed, Micros now, ActionSink& sink)
-      : set_(settings), sink_(sink), random_(seed), now_(now), load_(settings.classes.size()) {}
+      : set_(settings),
+        sink_(sink),
+        random_(seed),
+        now_(now),
+        load_(settings.classes.size()),
+        served_at_(now) {}
 
   void Advance(Micros now) { now_ = std::max(now_, now); }
 
@@ -182,8 +189,7 @@
     for (const ServerInfo& info : update.servers) {
       Server& server = servers_[info.id];
       if (info.started != server.info.started) {  // new here, or its process is: chance decides who starts it
-        server.young_credit = random_.Unit();
-        server.served_then = served_;
+        server.credit = {random_.Unit(), served_, now_};
       }
       server.info = info;
       if (const auto it = by_hand_.find(info.id); it != by_hand_.end() && !it->second.started)
@@ -213,8 +219,7 @@
         fresh.pool = server->second.pool;
         fresh.listed = server->second.listed;
         fresh.out = server->second.out;
-        fresh.young_credit = random_.Unit();
-        fresh.served_then = served_;
+        fresh.credit = {random_.Unit(), served_, now_};
         server->second = fresh;
       }
     }
@@ -288,7 +293,7 @@
     attempt.may_have_run = !ProvesNeverRan(outcome.result, set_.refused_may_have_run);
     --attempt.server->out;
     --pools_[attempt.server->pool].out;
-    if (outcome.result == Result::kSuccess) ++served_;
+    if (outcome.result == Result::kSuccess) LearnServed(pools_[attempt.server->pool]);
     if (Answered(outcome.result)) attempt.server->heard_at = now_;
     if (outcome.load.cpu) attempt.server->busy = *outcome.load.cpu >= kCoresBusy;
     Judge(held, *attempt.server, attempt.sent, outcome);
@@ -373,7 +378,7 @@
     Server* server = held.deadline > now_ ? Choose(held) : nullptr;
     if (server == nullptr) return Wait(it);
     // Spent where it is sent to, not where it is drawn: a draw that another server wins must cost it nothing.
-    server->young_credit = std::max(server->young_credit - 1, 0.0);
+    server->credit.left = std::max(server->credit.left - 1, 0.0);
     if (server->out++ == 0) server->heard_at = now_;
     Pool& pool = pools_[server->pool];
     pool.out_peak = std::max(static_cast<double>(++pool.out), pool.out_peak * (1 - 1 / kMixMemory));
@@ -787,11 +792,25 @@
     return set_.cold_share + (1 - set_.cold_share) * grown;
   }
 
+  // What the servers of the window usually serve of this sidecar's requests, by size, while nothing presses.
+  void LearnServed(const Pool& pool) {
+    ++served_;
+    const double seconds = static_cast<double>(now_ - served_at_) / kSecond;
+    if (seconds < 1) return;
+    double all = 0;
+    for (std::size_t i = 0; i < Width(pool, set_); ++i) all += Size(pool.InWindow(i));
+    const double rate = static_cast<double>(served_ - served_before_) / seconds;
+    served_at_ = now_;
+    served_before_ = served_;
+    if (pool.admit >= 1 && all > 0) served_by_size_.Add(rate / all, kServedSeconds);
+  }
+
   // A young server is sent its share by size of what this sidecar is *served*, as far as it is warm, times
   // half of what would push it over: a server that is served well takes its share and more, and the other
   // half is for chance and for what other sidecars do. Counting answers and not sends guards against an
   // overload, where sends and retries together exceed what a server can do many times, and against an idle
-  // newcomer that every sidecar prefers at once.
+  // newcomer that every sidecar prefers at once. What it is usually served in that time counts as well: in an
+  // overload of the others little is served, and newcomers stood idle for as long as that lasted.
   bool AcceptYoung(Server& server) {
     const double warmth = Warmth(server);
     if (warmth >= 1) return true;
@@ -799,10 +818,13 @@
     const std::size_t width = Width(pool, set_);
     double all = 0;
     for (std::size_t i = 0; i < width; ++i) all += Size(pool.InWindow(i));
-    const double served = static_cast<double>(served_ - server.served_then) * Size(server) / all;
-    server.young_credit = std::min(1.0, server.young_credit + set_.overload_factor / 2 * warmth * served);
-    server.served_then = served_;
-    return server.young_credit >= 1;
+    const double share = set_.overload_factor / 2 * warmth * Size(server);
+    const double seconds = static_cast<double>(now_ - server.credit.then) / kSecond;
+    server.credit.Earn(share * static_cast<double>(served_ - server.credit.served_then) / all,
+                       share * served_by_size_.value * seconds);
+    server.credit.served_then = served_;
+    server.credit.then = now_;
+    return server.credit.left >= 1;
   }
 
   // The design's wait: full jitter, doubling. Ends the request when nothing more can come of it.
@@ -889,16 +911,19 @@
   std::unordered_map<std::uint64_t, std::string> timers_;
   std::uint64_t last_timer_ = kAskToken;
   std::unordered_map<std::string, std::deque<std::string>>
-      lines_;                     // request ids by key; looked up, never walked
-  std::vector<ClassLoad> load_;   // by class
-  std::map<int, Pace> machines_;  // by kind of machine
-  Mean mean_worth_;               // of an arriving request
-  Mean mean_density_;             // the same by unit of its work
-  bool hinted_ = false;           // requests carry their expected work
-  std::int64_t served_ = 0;       // attempts that succeeded
-  int arrived_ = 0;               // requests since the last line of the log ...
-  int refused_ = 0;               // ... and what of them was refused on arrival
-  int hopeless_ = 0;              // ... for its own size, not for pressure
+      lines_;                       // request ids by key; looked up, never walked
+  std::vector<ClassLoad> load_;     // by class
+  std::map<int, Pace> machines_;    // by kind of machine
+  Mean mean_worth_;                 // of an arriving request
+  Mean mean_density_;               // the same by unit of its work
+  bool hinted_ = false;             // requests carry their expected work
+  std::int64_t served_ = 0;         // attempts that succeeded
+  std::int64_t served_before_ = 0;  // the same at served_at_
+  Micros served_at_ = 0;
+  Mean served_by_size_;  // usually served in a second by a server of size 1
+  int arrived_ = 0;      // requests since the last line of the log ...
+  int refused_ = 0;      // ... and what of them was refused on arrival
+  int hopeless_ = 0;     // ... for its own size, not for pressure
   Micros logged_at_ = 0;
   int asks_failed_ = 0;
   bool ask_pending_ = false;
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "merlinrun/balancer.hpp"
@@ -36,21 +37,38 @@
   }
 };
 
+// Sends that a young server may still be given. Reckoned in two ways, of which the one that has come to more
+// holds: adding up the better of each moment would come to more than either allows.
+struct Credit {
+  double left = 0;
+  std::int64_t served_then = 0;  // what this sidecar had been served when it was last reckoned
+  Micros then = 0;
+  double by_served = 0;  // earned by what this sidecar has been served since
+  double by_time = 0;    // earned by what it is usually served in that time
+  double granted = 0;
+
+  void Earn(double served, double usually) {
+    by_served += served;
+    by_time += usually;
+    const double most = std::max(by_served, by_time);
+    left = std::min(1.0, left + most - std::exchange(granted, most));
+  }
+};
+
 struct Server {
   ServerInfo info;
   std::size_t pool = 0;
   bool listed = false;
-  int out = 0;                   // own attempts in flight
-  Pace pace;                     // of its answers
-  std::vector<double> refuses;   // by class: share of its requests that were turned away lately
-  std::vector<double> failing;   // by class: share of its requests that were lost to errors or silence lately
-  bool busy = true;              // its cores are, by its last report; true until it reports
-  int strikes = 0;               // bad outcomes in a row
-  Micros heard_at = 0;           // its last answer, or when it got work after it had none
-  Micros good_at = 0;            // when it last served a request within its aim
-  Micros away_until = 0;         // left alone until then; after that one trial attempt at a time
-  double young_credit = 0;       // sends that a young server may still be given
-  std::int64_t served_then = 0;  // what this sidecar had been served when the credit was last reckoned
+  int out = 0;                  // own attempts in flight
+  Pace pace;                    // of its answers
+  std::vector<double> refuses;  // by class: share of its requests that were turned away lately
+  std::vector<double> failing;  // by class: share of its requests that were lost to errors or silence lately
+  bool busy = true;             // its cores are, by its last report; true until it reports
+  int strikes = 0;              // bad outcomes in a row
+  Micros heard_at = 0;          // its last answer, or when it got work after it had none
+  Micros good_at = 0;           // when it last served a request within its aim
+  Micros away_until = 0;        // left alone until then; after that one trial attempt at a time
+  Credit credit;                // while it is young
 };
 
 // What operators have said of a server.
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -272,6 +272,35 @@
 
 // Met when six in ten servers were replaced: others won the draws, credit was lost on them, and the newcomers
 // stood idle while the rest was overloaded.
+// Met on a day of bans and a release: those that stayed choked, little was served, and four newcomers of nine
+// servers stood idle for six seconds, as their credit came from what was served.
+TEST_F(BalancerTest, AYoungServerGetsItsShareWhenTheOthersChoke) {
+  Start(MakeSettings(), 3);
+  int asked = 0;
+  const auto play = [&](int count, Micros apart, const std::string& serves) {
+    int sent_there = 0;
+    for (int i = 0; i < count; ++i) {
+      const std::string id = "r" + std::to_string(asked++);
+      now_ += apart;
+      const auto sent = Arrive(id);
+      if (sent.empty() || sent[0].kind != Kind::kSend) continue;
+      sent_there += sent[0].server == "s00";
+      const bool served = serves.empty() || sent[0].server == serves;
+      Resolve(id, 0, served ? Result::kSuccess : Result::kTimeout, served);
+    }
+    return sent_there;
+  };
+  play(3000, 10 * kMs, "");  // a hundred a second, all of them served
+  auto servers = MakeServers(3);
+  servers[0].started = now_;
+  List(ListUpdate::Kind::kDelta, {servers[0]});
+  const int young = play(400, 10 * kMs, "s00");
+  // Four seconds of a third of what is usual, at the share that it certainly can do, half of what fells it.
+  const double usual = 4 * 100 / 3.0 * MakeSettings().overload_factor / 2;
+  EXPECT_GT(young, 0.5 * usual * MakeSettings().cold_share);
+  EXPECT_LE(young, 1 + usual * (MakeSettings().cold_share + 1) / 2);
+}
+
 TEST_F(BalancerTest, AYoungServerTakesItsTurnByItsSize) {
   const auto sent_to_young = [&](double weight) {
     Start(MakeSettings(), 3);
