Leave what was learnt of load and servers for the process that takes over

Design: while it serves alone, a process leaves the module's figures (Learned) as one small file in $TMPDIR each second; one that finds another alive reads it at its start (Recall), all or nothing. They are the module's own, by one list for writing and reading. Not taken: what is under way (it stays with the old process), young servers' credit (each process earns by what it serves).

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -211,6 +211,10 @@
   // By hand: a server that is out gets nothing new, whatever the list says, until it is put back. It counts
   // as started then, until the list tells of another start than it did before.
   void OnBan(Micros now, std::string_view server, bool out);
+  // What it has learnt of load and of servers, as text for the process that takes over from this one, which
+  // gives it to Recall after its first list. Text that makes no sense changes nothing and returns false.
+  std::string Learned() const;
+  bool Recall(Micros now, std::string_view learned);
   void OnRequest(Micros now, const Request& request);
   // The last byte of a partial request has been passed on; the client gives up so long from now.
   void OnWhole(Micros now, std::string_view request, Micros budget);
--- a/src/net/shared_dir.cpp
+++ b/src/net/shared_dir.cpp
@@ -19,6 +19,8 @@
 constexpr std::string_view kPresencePrefix = "alive.";
 constexpr std::string_view kOutPrefix = "out.";
 constexpr std::string_view kUnfinishedPrefix = "new.";
+constexpr std::string_view kLeftName = "learnt";
+constexpr std::size_t kMostLeft = std::size_t{256} * 1024;
 constexpr std::size_t kMostTold = 32;
 constexpr std::size_t kMostRecord = 256;
 
@@ -49,8 +51,8 @@
   return name;
 }
 
-std::string ReadRecord(const std::string& file) {
-  std::string text(kMostRecord + 1, '\0');
+std::string ReadUpTo(const std::string& file, std::size_t most) {
+  std::string text(most + 1, '\0');
   const int fd = ::open(file.c_str(), O_RDONLY | O_CLOEXEC | O_NOFOLLOW | O_NONBLOCK);
   const ssize_t got = fd < 0 ? -1 : ::read(fd, text.data(), text.size());
   if (fd >= 0) ::close(fd);
@@ -97,21 +99,31 @@
   return lives;
 }
 
-// The record appears whole or not at all: it is written under another name first.
-bool SharedDir::Keep(const std::string& server) {
-  const std::string text = server + "\n";
-  if (path_.empty() || text.size() > kMostRecord) return false;
+// It appears whole or not at all: it is written under another name first.
+bool SharedDir::WriteWhole(const std::string& name, const std::string& text) {
   std::string unfinished = path_ + "/" + std::string(kUnfinishedPrefix) + "XXXXXX";
   const int fd = ::mkostemp(unfinished.data(), O_CLOEXEC);
   if (fd < 0) return false;
   const bool written = ::write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size());
   const bool closed = ::close(fd) == 0;
-  if (written && closed && ::rename(unfinished.c_str(), (path_ + "/" + FileName(server)).c_str()) == 0)
-    return true;
+  if (written && closed && ::rename(unfinished.c_str(), (path_ + "/" + name).c_str()) == 0) return true;
   ::unlink(unfinished.c_str());
   return false;
 }
 
+bool SharedDir::Keep(const std::string& server) {
+  const std::string text = server + "\n";
+  return !path_.empty() && text.size() <= kMostRecord && WriteWhole(FileName(server), text);
+}
+
+bool SharedDir::Leave(const std::string& text) {
+  return !path_.empty() && text.size() <= kMostLeft && WriteWhole(std::string(kLeftName), text);
+}
+
+std::string SharedDir::Left() const {
+  return path_.empty() ? "" : ReadUpTo(path_ + "/" + std::string(kLeftName), kMostLeft);
+}
+
 bool SharedDir::Drop(const std::string& server) {
   if (path_.empty()) return false;
   return ::unlink((path_ + "/" + FileName(server)).c_str()) == 0 || errno == ENOENT;
@@ -130,13 +142,13 @@
   view.readable = true;
   while (const dirent* entry = ::readdir(dir.get())) {
     const std::string name = entry->d_name;
-    if (name == "." || name == ".." || StartsWith(name, kUnfinishedPrefix)) continue;
+    if (name == "." || name == ".." || name == kLeftName || StartsWith(name, kUnfinishedPrefix)) continue;
     if (StartsWith(name, kPresencePrefix)) {
       if (name != own_name_) view.others = OtherLives(name) || view.others;
       continue;
     }
     if (entry->d_type == DT_DIR && !StartsWith(name, kOutPrefix)) continue;  // others keep theirs here too
-    std::string server = StartsWith(name, kOutPrefix) ? ReadRecord(path_ + "/" + name) : "";
+    std::string server = StartsWith(name, kOutPrefix) ? ReadUpTo(path_ + "/" + name, kMostRecord) : "";
     const bool whole = server.size() > 1 && server.back() == '\n';
     if (whole) server.pop_back();
     if (whole && FileName(server) == name) {
--- a/src/net/shared_dir.hpp
+++ b/src/net/shared_dir.hpp
@@ -27,6 +27,10 @@
   bool Keep(const std::string& server);
   bool Drop(const std::string& server);
 
+  // What one process leaves for the next, whole or not at all; empty if there is nothing.
+  bool Leave(const std::string& text);
+  std::string Left() const;
+
   struct View {
     bool readable = false;
     bool others = false;        // another process of this sidecar lives
@@ -36,6 +40,7 @@
   View Look();
 
  private:
+  bool WriteWhole(const std::string& name, const std::string& text);
   bool OtherLives(const std::string& name) const;
   void Tell(const std::string& name);
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -49,6 +49,7 @@
 constexpr Micros kMostUpload = 600 * kSecond;
 // How often what is shared with another process is looked at: what it has done holds here within 1 s.
 constexpr auto kLookEvery = std::chrono::milliseconds(200);
+constexpr int kLooksToLeave = 5;  // looks from one leaving of what has been learnt to the next
 // The log says at most once in so long which answers were no success, and nothing while all are.
 constexpr auto kLogEvery = std::chrono::seconds(1);
 
@@ -174,6 +175,8 @@
   }
   OnList(ListUpdate::Kind::kStale, config_.known);
   if (config_.known.endpoints.empty()) generation_ = Discovery::kUnknown;
+  if (config_.wire.settings.takes_over && !balancer_->Recall(Now(), shared_.Left()))
+    std::fprintf(stderr, "shared folder: nothing to be learnt from the process before this one\n");
   if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
   if (config_.accept_fd || config_.management) Look();
 }
@@ -601,6 +604,9 @@
       if (view.out.count(server) == 0) SetBan(server, false);
     for (const std::string& server : view.out) SetBan(server, true);
   }
+  // What has been learnt is left for the next process; while two live, the one that was there first has done
+  // so.
+  if (config_.accept_fd && !others_ && looks_++ % kLooksToLeave == 0) shared_.Leave(balancer_->Learned());
   if (config_.accept_fd) LookLater();  // else there is no other process
 }
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -136,6 +136,7 @@
   std::int64_t generation_ = 0;
   asio::steady_timer drain_timer_;
   asio::steady_timer look_timer_;
+  int looks_ = 0;
   bool others_ = false;  // another process of this sidecar serves
   asio::steady_timer log_timer_;
   std::map<std::string_view, int> noted_;  // since the last line of the log, by reason
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <deque>
 #include <map>
+#include <sstream>
 #include <unordered_map>
 #include <utility>
 
@@ -256,6 +257,68 @@
           static_cast<std::size_t>(static_cast<std::uint64_t>(set_.rank) * pool.ring.size() / set_.siblings);
   }
 
+  // ---- What is handed over to the next process ----
+
+  // Guards against a successor that takes an overload for what is usual, as it begins in the middle of it.
+  std::string Learned() {
+    std::string text;
+    const auto write = [&](double value) {
+      char digits[32];
+      std::snprintf(digits, sizeof digits, "%.9g ", value);
+      text += digits;
+    };
+    EachLearnt(write);
+    for (auto& [id, server] : servers_) {
+      if (id.find_first_of(" \n") != std::string::npos) continue;
+      text += "\n" + id + " ";
+      EachLearnt(server, write);
+    }
+    return text + "\n.\n";
+  }
+
+  // All or nothing: it is read twice, and taken the second time.
+  bool Recall(std::string_view learned) {
+    for (const bool take : {false, true}) {
+      std::istringstream in{std::string(learned)};
+      const auto read = [&](double& value) {
+        double next = -1;
+        if (!(in >> next) || !(next >= 0)) in.setstate(std::ios::failbit);
+        if (take) value = next;
+      };
+      EachLearnt(read);
+      std::string id;
+      while (in >> id && id != ".") {
+        const auto server = servers_.find(id);
+        Server other;
+        EachLearnt(server == servers_.end() ? other : server->second, read);
+      }
+      if (!in || id != ".") return false;
+    }
+    for (Pool& pool : pools_) pool.limited = KnowsOut(pool);
+    return true;
+  }
+
+  template <typename Visit>
+  void EachLearnt(Visit visit) {
+    for (Pool& pool : pools_)
+      for (double* value : {&pool.admit, &pool.out_each, &pool.outs, &pool.usual, &pool.unloaded,
+                            &pool.answers, &pool.elapsed.value, &pool.elapsed.seen})
+        visit(*value);
+    for (ClassLoad& load : load_)
+      for (double* value :
+           {&load.work.value, &load.work.seen, &load.answer.value, &load.answer.seen, &load.arriving})
+        visit(*value);
+    for (Mean* mean : {&mean_worth_, &mean_density_, &served_by_size_}) visit(mean->value), visit(mean->seen);
+  }
+  template <typename Visit>
+  void EachLearnt(Server& server, Visit visit) {
+    visit(server.pace.taken), visit(server.pace.usual);
+    server.failing.resize(load_.size());
+    server.refuses.resize(load_.size());
+    for (double& share : server.failing) visit(share);
+    for (double& share : server.refuses) visit(share);
+  }
+
   // ---- A request's life ----
 
   void OnRequest(const Request& in) {
@@ -483,12 +546,16 @@
     return std::clamp((kOutFull - over) / (kOutFull - kOutFrom), kAdmitLeast, 1.0);
   }
 
+  static bool KnowsOut(const Pool& pool) {
+    return pool.outs >= kOutLearnt && pool.out_each * static_cast<double>(pool.ring.size()) >= kSteadyOut;
+  }
+
   static void LearnOut(Pool& pool) {
     if (pool.admit < 1 || pool.ring.empty()) return;
     const double servers = static_cast<double>(pool.ring.size());
     pool.outs = std::min(pool.outs + 1, kOutMemory);
     pool.out_each += (pool.out / servers - pool.out_each) / pool.outs;
-    pool.limited = pool.outs >= kOutLearnt && pool.out_each * servers >= kSteadyOut;
+    pool.limited = KnowsOut(pool);
   }
 
   bool Admits(const Pool& pool, std::size_t own, bool late) {
@@ -964,6 +1031,11 @@
   state_->Advance(now);
   state_->OnBan(server, out);
 }
+std::string Balancer::Learned() const { return state_->Learned(); }
+bool Balancer::Recall(Micros now, std::string_view learned) {
+  state_->Advance(now);
+  return state_->Recall(learned);
+}
 void Balancer::OnRequest(Micros now, const Request& request) {
   state_->Advance(now);
   state_->OnRequest(request);
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -428,6 +428,47 @@
   EXPECT_EQ(balancer_->requests_held(), 0u);
 }
 
+// The next process knows from its first request on which server fails.
+TEST_F(BalancerTest, WhatWasLearntIsHandedOver) {
+  const auto failing = [&](int count) {
+    int there = 0;
+    for (int i = 0; i < count; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      const auto sent = Arrive(id);
+      if (sent.empty() || sent[0].kind != Kind::kSend) continue;
+      there += sent[0].server == "s00";
+      Resolve(id, 0, sent[0].server == "s00" ? Result::kError : Result::kSuccess, true);
+    }
+    return there;
+  };
+  Start(MakeSettings(), 3);
+  failing(500);
+  const std::string learnt = balancer_->Learned();
+  int fresh = 0;
+  int told = 0;
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    Start(MakeSettings(), 3, seed);
+    fresh += failing(5);
+    Start(MakeSettings(), 3, seed);
+    EXPECT_TRUE(balancer_->Recall(now_, learnt));
+    told += failing(5);
+  }
+  EXPECT_GT(fresh, 40);
+  EXPECT_LT(told, fresh / 2);
+}
+
+TEST_F(BalancerTest, WhatMakesNoSenseIsNotRecalled) {
+  Start(MakeSettings(), 3);
+  const std::string before = balancer_->Learned();
+  const std::string torn = before.substr(0, before.size() - 2);
+  for (const std::string& text : {std::string(), std::string("."), torn, "x " + before, "-1 " + before,
+                                  "nan " + before, "1 2 3\n.\n" + before})
+    EXPECT_FALSE(balancer_->Recall(now_, text)) << text;
+  EXPECT_EQ(balancer_->Learned(), before);
+  EXPECT_TRUE(balancer_->Recall(now_, before));
+  EXPECT_EQ(balancer_->Learned(), before);
+}
+
 // A sidecar that restarts knows nothing but its last list; many servers may be young in it at once.
 TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtYoungServers) {
   auto servers = MakeServers(4);
--- a/tests/net/shared_dir_test.cpp
+++ b/tests/net/shared_dir_test.cpp
@@ -74,6 +74,18 @@
   EXPECT_TRUE(std::filesystem::exists(path + "/notes\ntxt"));
 }
 
+TEST_F(SharedDirTest, LeavesWhatTheNextOneReads) {
+  SharedDir own(path);
+  EXPECT_EQ(own.Left(), "");
+  EXPECT_TRUE(own.Leave("one\n"));
+  EXPECT_TRUE(own.Leave("two\n"));
+  SharedDir next(path);
+  EXPECT_EQ(next.Left(), "two\n");
+  EXPECT_TRUE(next.Look().out.empty());
+  EXPECT_FALSE(own.Leave(std::string(std::size_t{1} << 20, 'x')));
+  EXPECT_EQ(next.Left(), "two\n");
+}
+
 TEST_F(SharedDirTest, WhatCannotBeRecordedIsSaid) {
   SharedDir none("");
   EXPECT_FALSE(none.Keep("s1") || none.Drop("s1"));
