--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -1,6 +1,8 @@
 // The whole sidecar between scripted clients, servers and discovery.
 #include "net/sidecar.hpp"
 
+#include <unistd.h>
+
 #include <cstdlib>
 #include <filesystem>
 
@@ -747,6 +749,53 @@
   EXPECT_TRUE(std::filesystem::is_empty(folder));
 }
 
+// Two processes of one sidecar while a new version takes over.
+TEST_F(BanTest, ABanByEitherDoorHoldsInBothProcesses) {
+  ScriptedServer out(io, Serves("ok"));
+  ScriptedServer other(io, Serves("ok"));
+  std::vector<nlohmann::json> servers = {Entry("s1", out.address)};
+  for (int i = 2; i < 9; ++i) servers.push_back(Entry("s" + std::to_string(i), other.address));
+  Tcp::acceptor listener(io, Loopback());
+  const auto start = [&] {
+    Config config = ParseConfig(ConfigJson(discovery.address, servers).dump());
+    config.accept_fd = ::dup(listener.native_handle());
+    config.management = Loopback();
+    config.shared_dir = folder;
+    auto process = std::make_unique<Sidecar>(io, std::move(config));
+    process->Start();
+    return process;
+  };
+  std::unique_ptr<Sidecar> older = start();
+  std::unique_ptr<Sidecar> newer = start();
+  const auto order = [&](const Sidecar& process, const std::string& call) {
+    auto caller = Connect(io, process.management_address());
+    caller->Write("POST /ops/servers/" + call + " HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(RunUntil(io, [&] { return caller->ended; }));
+    return caller->received.substr(9, 3);
+  };
+  const auto skips = [&](const Sidecar& process, const std::string& count) {
+    return RunUntil(
+        io,
+        [&] {
+          auto caller = Connect(io, process.management_address());
+          caller->Write("GET /ops/stats HTTP/1.1\r\n\r\n");
+          RunUntil(io, [&] { return caller->ended; });
+          return caller->received.find("\"skipped_servers\":" + count) != std::string::npos;
+        },
+        1s);
+  };
+  EXPECT_EQ(order(*older, "down/s1"), "200");
+  EXPECT_TRUE(skips(*older, "1") && skips(*newer, "1"));
+  EXPECT_EQ(order(*newer, "up/s1"), "200");
+  EXPECT_TRUE(skips(*newer, "0") && skips(*older, "0"));
+  EXPECT_EQ(order(*newer, "down/s1"), "200");
+  EXPECT_TRUE(skips(*older, "1"));
+  older.reset();
+  RunFor(io, 300ms);  // it goes, the order stays
+  EXPECT_TRUE(skips(*newer, "1"));
+  newer.reset();
+}
+
 TEST_F(BanTest, WhatWasNeverListedIsNoAndWhatCannotBeKeptChangesNothing) {
   ScriptedServer server(io, Serves("ok"));
   StartWith({Entry("s1", server.address)});
