Keep the generation with the discovery that told it

Seen on reading, forced in a loopback test: where lists are asked for, the sidecar handed its own last generation to every subscribe. After SIGHUP whose first call failed, or after a lower generation, that overwrote "unknown", and the other discovery was asked for what changed after a version that was never its own: it may tell nothing for good. Where lists are pushed the watch reopens by itself and kept "unknown", so only the asking mode was hit.

At fault: Discovery::Watch(generation), Sidecar::Subscribe and Sidecar::OnList, which kept a second copy of the version. Discovery owns it now; the sidecar tells it once, at the start, what `known` holds.

Ruled out: Switch itself (it sets "unknown"), the module (it sees no versions).

Tests: RareTest.AfterAReloadWhoseFirstCallFailsTheWholeListIsAskedFor and RareTest.AfterALowerGenerationTheWholeListIsAskedForAlsoWhereTheModuleAsks; both fail on the program before, both pass now. The fixture of the sidecar's tests moved to a header of its own to be shared, unchanged.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -196,10 +196,8 @@
   if (stream_ != nullptr) stream_->Stop();
 }
 
-void Discovery::Watch(std::int64_t generation) {
-  if (stream_ != nullptr) return;
-  generation_ = generation;
-  Open();
+void Discovery::Watch() {
+  if (stream_ == nullptr) Open();
 }
 
 void Discovery::Switch(const Tcp::endpoint& address) {
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -58,8 +58,11 @@
   Discovery(const Discovery&) = delete;
   Discovery& operator=(const Discovery&) = delete;
 
-  // Opens the watch, to be told of what changed after `generation`. Does nothing if it is open already.
-  void Watch(std::int64_t generation);
+  // What is known already, before the first watch.
+  void Know(std::int64_t generation) { generation_ = generation; }
+
+  // Opens the watch, to be told of what changed after what is known. Does nothing if it is open already.
+  void Watch();
 
   // Follows another address from now on. Its versions are its own, so it is asked for the whole list first.
   // Does nothing if the address is the one that is followed.
@@ -81,8 +84,8 @@
   std::mt19937_64 random_;
   asio::steady_timer backoff_;
   std::shared_ptr<Stream> stream_;
-  std::int64_t generation_ = kUnknown;
-  std::uint64_t calls_ = 0;  // made since the start
+  std::int64_t generation_ = kUnknown;  // of the discovery that is followed
+  std::uint64_t calls_ = 0;             // made since the start
   int failures_ = 0;
   bool complained_ = false;
 };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -174,10 +174,10 @@
         std::make_unique<Management>(io_, *config_.management, Management::Limits{}, std::move(calls));
   }
   OnList(ListUpdate::Kind::kStale, config_.known);
-  if (config_.known.endpoints.empty()) generation_ = Discovery::kUnknown;
+  discovery_.Know(config_.known.endpoints.empty() ? Discovery::kUnknown : config_.known.generation);
   if (config_.wire.settings.takes_over && !balancer_->Recall(Now(), shared_.Left()))
     std::fprintf(stderr, "shared folder: nothing to be learnt from the process before this one\n");
-  if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
+  if (!config_.wire.settings.must_subscribe) discovery_.Watch();
   if (config_.accept_fd || config_.management) Look();
 }
 
@@ -235,7 +235,6 @@
 }
 
 void Sidecar::OnList(ListUpdate::Kind kind, const EndpointList& list) {
-  generation_ = list.generation;
   EndpointList applied = list;
   applied.whole = kind != ListUpdate::Kind::kDelta;
   upstream_.Apply(applied);
@@ -249,8 +248,7 @@
 }
 
 void Sidecar::OnDiscoveryFailed() {
-  if (config_.wire.settings.must_subscribe)
-    balancer_->OnServers(Now(), {ListUpdate::Kind::kFailed, generation_, {}});
+  if (config_.wire.settings.must_subscribe) balancer_->OnServers(Now(), {ListUpdate::Kind::kFailed, 0, {}});
 }
 
 // ---- A request's life ----
@@ -572,7 +570,7 @@
 }
 
 void Sidecar::Subscribe() {
-  asio::post(io_, [this] { discovery_.Watch(generation_); });
+  asio::post(io_, [this] { discovery_.Watch(); });
 }
 
 void Sidecar::Log(std::string_view text) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -133,7 +133,6 @@
   Calls calls_;
   std::unordered_set<std::string> ever_listed_;  // servers
   std::set<std::string> banned_;
-  std::int64_t generation_ = 0;
   asio::steady_timer drain_timer_;
   asio::steady_timer look_timer_;
   int looks_ = 0;
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -29,7 +29,8 @@
         io, server->address, names, timing, 1,
         Discovery::Events{[this](const EndpointList& list) { lists.push_back(list); },
                           [this] { ++failures; }});
-    discovery->Watch(41);
+    discovery->Know(41);
+    discovery->Watch();
   }
   static std::string Line(std::int64_t generation, const std::string& id) {
     return List(generation, false, {Entry(id, {asio::ip::make_address("127.0.0.1"), 80})}).dump() + "\n";
@@ -134,7 +135,7 @@
   ASSERT_TRUE(RunUntil(io, [&] { return failures == 1; }));
   RunFor(io, 50ms);
   EXPECT_EQ(watches, 1U);
-  discovery->Watch(41);
+  discovery->Watch();
   EXPECT_TRUE(RunUntil(io, [&] { return watches == 2; }));
 }
 
--- /dev/null
+++ b/tests/net/rare_test.cpp
@@ -0,0 +1,75 @@
+// Rare moments: what happens when two things cross. The order is forced by steps of the loop, never by
+// sleeps.
+#include "sidecar_fixture.hpp"
+
+namespace merlinrun::net {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+
+class RareTest : public SidecarTest {
+ protected:
+  static std::string Watching() { return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"; }
+  static std::string Chunk(const std::string& text) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+  }
+  // Follows another discovery from now on.
+  void Reload(const Tcp::endpoint& address) {
+    Config config = ParseConfig(ConfigJson(address, {}).dump());
+    sidecar->Reload(config);
+  }
+  // Lists are asked for, not pushed, and at once.
+  static void Asked(nlohmann::json& json) {
+    json["settings"]["membership_mode"] = "subscribe";
+    json["settings"]["rules"]["ask_within_us"] = 1000;
+  }
+};
+
+// ---- Watches ----
+
+// The versions of one discovery say nothing at another, and one that is asked for changes after a version of
+// the other's may have nothing to tell.
+TEST_F(RareTest, AfterAReloadWhoseFirstCallFailsTheWholeListIsAskedFor) {
+  ScriptedServer one(io, Serves("one"));
+  ScriptedServer two(io, Serves("two"));
+  Start({Entry("s-1", one.address)}, Asked);
+  Tell(List(40, false, {}));
+  int calls = 0;
+  ScriptedServer other(io, [&](Peer& peer) {
+    if (++calls == 1) return peer.Write(Reply("503 Service Unavailable", ""));
+    const bool whole = peer.received.rfind("GET /v1/endpoints HTTP/1.1\r\n", 0) == 0;
+    peer.Write(whole ? Reply("200 OK", List(7, true, {Entry("s-2", two.address)}).dump()) : Watching());
+  });
+  Reload(other.address);
+  ASSERT_TRUE(RunUntil(io, [&] { return calls >= 3; }));
+  EXPECT_EQ(other.peers[1]->received.rfind("GET /v1/endpoints HTTP/1.1\r\n", 0), 0U);
+  EXPECT_NE(other.peers[2]->received.find("index=7 "), std::string::npos);
+  EXPECT_EQ(Ask(Get("a")), "200");
+  EXPECT_EQ(one.requests(), 0);
+  EXPECT_EQ(two.requests(), 1);
+}
+
+TEST_F(RareTest, AfterALowerGenerationTheWholeListIsAskedForAlsoWhereTheModuleAsks) {
+  ScriptedServer one(io, Serves("one"));
+  int calls = 0;
+  discovery.on_data = [&](Peer& peer) {
+    const bool whole = peer.received.rfind("GET /v1/endpoints HTTP/1.1\r\n", 0) == 0;
+    ++calls;
+    watching = &peer;
+    if (whole) return peer.Write(Reply("200 OK", List(4, true, {Entry("s-1", one.address)}).dump()));
+    peer.Write(Watching() + (calls == 1 ? Chunk(List(3, false, {}).dump() + "\n") : ""));
+  };
+  Start({Entry("s-gone", one.address)}, [](nlohmann::json& json) {
+    Asked(json);
+    json["known"]["generation"] = 41;
+  });
+  ASSERT_TRUE(RunUntil(io, [&] { return calls >= 3; }));
+  EXPECT_NE(discovery.peers[0]->received.find("index=41 "), std::string::npos);
+  EXPECT_EQ(discovery.peers[1]->received.rfind("GET /v1/endpoints HTTP/1.1\r\n", 0), 0U);
+  EXPECT_NE(discovery.peers[2]->received.find("index=4 "), std::string::npos);
+}
+
+}  // namespace
+}  // namespace merlinrun::net
--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -6,94 +6,13 @@
 #include <cstdlib>
 #include <filesystem>
 
-#include "loopback.hpp"
+#include "sidecar_fixture.hpp"
 
 namespace merlinrun::net {
 namespace {
 
 using namespace testing;  // NOLINT(google-build-using-namespace)
 
-class SidecarTest : public ::testing::Test {
- protected:
-  SidecarTest()
-      : discovery(io, [this](Peer& peer) {
-          if (peer.requests() == 1 && watching == nullptr) {
-            watching = &peer;
-            peer.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-          }
-        }) {}
-
-  void Start(const std::vector<nlohmann::json>& instances) {
-    Start(instances, [](nlohmann::json&) {});
-  }
-  void Start(const std::vector<nlohmann::json>& instances,
-             const std::function<void(nlohmann::json&)>& change) {
-    nlohmann::json json = ConfigJson(discovery.address, instances);
-    change(json);
-    Config config = ParseConfig(json.dump());
-    config.listen = Loopback();
-    if (config.management) config.management = Loopback();
-    sidecar = std::make_unique<Sidecar>(io, std::move(config));
-    sidecar->Start();
-    ASSERT_TRUE(RunUntil(io, [&] { return watching != nullptr; }));
-  }
-  void Tell(const nlohmann::json& list) {
-    const std::string text = list.dump() + "\n";
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-    watching->Write(size + text + "\r\n");
-  }
-  static std::string Get(const std::string& id, const std::string& headers = "") {
-    return "GET /api?obj=k1 HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: " + id +
-           "\r\nReq-Kind: look\r\nReq-Deadline: 5.0\r\n" + headers + "\r\n";
-  }
-  static std::string Post(const std::string& kind, const std::string& id,
-                          const std::string& deadline = "5.0") {
-    return "POST /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind +
-           "\r\nReq-Deadline: " + deadline + (kind == "pay" ? "\r\nIdempotency-Key: k" + id : "") +
-           "\r\nContent-Length: 4\r\n\r\nbody";
-  }
-  std::shared_ptr<Peer> Client(const std::string& text) {
-    auto client = Connect(io, sidecar->address());
-    client->Write(text);
-    return client;
-  }
-  // The status of the client's n-th answer; empty if none comes.
-  std::string Status(Peer& client, int n = 1) {
-    if (!RunUntil(io, [&] { return client.requests() >= n; })) return "";
-    std::size_t at = 0;
-    for (int i = 1; i < n; ++i) at = client.received.find("HTTP/1.1 ", at + 1);
-    return client.received.substr(at + 9, 3);
-  }
-  std::string Ask(const std::string& text) { return Status(*Client(text)); }
-  // Has so many requests out until so many have been answered, one by one; `waiting` are those at the
-  // servers.
-  void KeepOut(std::size_t out, int count, std::vector<Peer*>& waiting) {
-    std::vector<int> answered(out, 0);
-    for (std::size_t i = 0; i < out; ++i) kept.push_back(Client(Get("c" + std::to_string(i))));
-    for (int i = 0; i < count; ++i) {
-      ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == out; })) << i;
-      waiting.front()->Write(Reply("200 OK", "ok"));
-      waiting.erase(waiting.begin());
-      std::size_t next = 0;
-      const auto has_answer = [&](std::size_t client) { return kept[client]->requests() > answered[client]; };
-      ASSERT_TRUE(RunUntil(io, [&] {
-        for (next = 0; next < out && !has_answer(next); ++next) continue;
-        return next < out;
-      }));
-      ASSERT_EQ(Status(*kept[next], ++answered[next]), "200");
-      kept[next]->Write(Get("d" + std::to_string(i)));
-    }
-    ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == out; }));
-  }
-
-  asio::io_context io;
-  Peer* watching = nullptr;
-  ScriptedServer discovery;
-  std::unique_ptr<Sidecar> sidecar;
-  std::vector<std::shared_ptr<Peer>> kept;
-};
-
 TEST_F(SidecarTest, IsReadyOnceItKnowsAServer) {
   ScriptedServer server(io, Serves("ok"));
   Start(std::vector<nlohmann::json>());
