Read lists that stand on several lines, by their brackets and not by line ends

Doubtful place on reading: Discovery::Stream::TakePiece took a line for an object. An indented list was "no JSON" at its first line, whole or on a watch, at every reopening: the list stayed as it was at the start, for good.

What comes is cut into objects by brackets outside strings, whatever the line ends and pieces. Text that cannot be JSON is told at once as before; an object that has begun has to become whole within the time of silence, so that blank lines in the middle of a torn one keep no watch alive.

Ruled out: the chunk decoder (lists cut at each byte were read before as long as they stood on one line).

Tests: RareTest.ListsThatStandOnSeveralLinesAreReadHoweverTheyAreCut fails on the program before and passes now. RareTest.AnObjectWithoutEndDoesNotKeepAWatch is a guard: it passed before, as each line was taken for an object.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -17,8 +17,8 @@
 namespace merlinrun::net {
 namespace {
 
-constexpr std::size_t kMostLine = std::size_t{4} * 1024 * 1024;  // some 20,000 servers
-constexpr std::int64_t kMostUnixMs = std::int64_t{1} << 49;      // the module takes times under 2^60 us
+constexpr std::size_t kMostObject = std::size_t{4} * 1024 * 1024;  // some 20,000 servers
+constexpr std::int64_t kMostUnixMs = std::int64_t{1} << 49;        // the module takes times under 2^60 us
 
 std::optional<ServerInfo::State> ParseLifecycle(const std::string& word) {
   if (word == "up") return ServerInfo::State::kHealthy;
@@ -77,6 +77,61 @@
   return std::nullopt;
 }
 
+namespace {
+
+// Cuts what comes into JSON objects by their brackets: an object may stand on one line or on several, and may
+// come in any pieces.
+class ObjectSplitter {
+ public:
+  // False if no JSON goes on like that. What is wrong in other ways shows when the object is read; this much
+  // is seen at once, so that nobody waits for the end of what has none.
+  bool Take(char c) {
+    if (depth_ == 0) {
+      if (IsSpace(c)) return true;
+      if (c != '{') return false;
+    }
+    text_.push_back(c);
+    if (in_string_) {
+      if (c == '\n') return false;
+      if (!std::exchange(escaped_, !escaped_ && c == '\\') && c == '"') in_string_ = false;
+      return true;
+    }
+    if (IsSpace(c)) return true;
+    if (std::exchange(last_, c) == '{' && c != '"' && c != '}') return false;
+    if (c == '"') {
+      in_string_ = true;
+    } else if (c == '{' || c == '[') {
+      ++depth_;
+    } else if (c == '}' || c == ']') {
+      whole_ = --depth_ == 0;
+    } else {
+      return kBetweenStrings.find(c) != std::string_view::npos;
+    }
+    return true;
+  }
+  // The object that the last character has made whole, if it has.
+  std::optional<std::string> Whole() {
+    if (!std::exchange(whole_, false)) return std::nullopt;
+    return std::exchange(text_, {});
+  }
+  bool inside() const { return depth_ > 0; }
+  std::size_t size() const { return text_.size(); }
+
+ private:
+  static constexpr std::string_view kBetweenStrings =
+      ":,+-.0123456789eEtrufalsn";  // numbers, true, false, null
+  static bool IsSpace(char c) { return c == ' ' || c == '\t' || c == '\r' || c == '\n'; }
+
+  std::string text_;
+  int depth_ = 0;
+  char last_ = 0;  // the last that is no space and in no string
+  bool in_string_ = false;
+  bool escaped_ = false;
+  bool whole_ = false;
+};
+
+}  // namespace
+
 // One watch, from its connection to its end. Reports its end once, unless it is stopped first.
 class Discovery::Stream : public std::enable_shared_from_this<Stream> {
  public:
@@ -101,8 +156,12 @@
   }
 
  private:
-  // Guards against a discovery that is cut off: such a connection stays open and silent for ever.
-  void ExpectProgress() { tcp_.expires_after(std::chrono::microseconds(owner_->timing_.silence)); }
+  // Guards against a discovery that is cut off: such a connection stays open and silent for ever. An object
+  // that has begun has to become whole in that time too: blank lines in its middle are no sign of life.
+  void ExpectProgress() {
+    if (!objects_.inside()) begun_ = std::chrono::steady_clock::now();
+    tcp_.expires_at(begun_ + std::chrono::microseconds(owner_->timing_.silence));
+  }
 
   void Ask() {
     http::async_write(tcp_, request_, [self = shared_from_this()](ErrorCode error, std::size_t) {
@@ -143,8 +202,6 @@
   void OnBodyEnd() {
     if (!whole_) return End("the watch ended");
     Discovery* const owner = owner_;
-    if (!line_.empty()) owner->OnLine(line_);
-    if (owner_ == nullptr) return;  // it could not be read
     if (owner->generation_ == kUnknown) return End("no list", true);
     owner_ = nullptr;
     tcp_.close();
@@ -152,16 +209,12 @@
   }
 
   void TakePiece() {
-    line_.append(piece_.data(), piece_.size() - parser_.get().body().size);
-    std::size_t begin = 0;
-    for (std::size_t end = line_.find('\n'); end != std::string::npos; end = line_.find('\n', begin)) {
-      const std::string line = line_.substr(begin, end - begin);
-      begin = end + 1;
-      if (owner_ != nullptr && line.find_first_not_of(" \r") != std::string::npos) owner_->OnLine(line);
+    for (const char c : std::string_view(piece_.data(), piece_.size() - parser_.get().body().size)) {
       if (owner_ == nullptr) return;
+      if (!objects_.Take(c)) return End("no JSON", true);
+      if (const auto object = objects_.Whole()) owner_->OnObject(*object);
     }
-    line_.erase(0, begin);
-    if (line_.size() > kMostLine) return End("a line without end", true);
+    if (objects_.size() > kMostObject) return End("an object without end", true);
     ReadBody();
   }
 
@@ -178,8 +231,9 @@
   http::request<http::empty_body> request_;
   http::response_parser<http::buffer_body> parser_;
   std::array<char, kReadSize> piece_{};
-  std::string line_;
-  bool whole_ = false;  // asks for the whole list, not for a watch
+  ObjectSplitter objects_;
+  std::chrono::steady_clock::time_point begun_;  // its last word before the object that is coming in
+  bool whole_ = false;                           // asks for the whole list, not for a watch
 };
 
 Discovery::Discovery(asio::io_context& io, Tcp::endpoint address, const drill::WireSettings& names,
@@ -217,9 +271,9 @@
   stream_->Open();
 }
 
-void Discovery::OnLine(const std::string& line) {
+void Discovery::OnObject(const std::string& text) {
   std::string error = "no JSON";
-  const auto json = nlohmann::json::parse(line, nullptr, /*allow_exceptions=*/false);
+  const auto json = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
   const auto list = json.is_discarded() ? std::nullopt : ParseList(json, names_, error);
   if (list && !Follows(*list)) {
     generation_ = kUnknown;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -72,7 +72,7 @@
   class Stream;
 
   void Open();
-  void OnLine(const std::string& line);
+  void OnObject(const std::string& text);
   void OnEnd(const std::string& reason, bool bad_input);
   bool Follows(const EndpointList& list) const;
 
--- a/tests/net/rare_test.cpp
+++ b/tests/net/rare_test.cpp
@@ -20,6 +20,7 @@
     Config config = ParseConfig(ConfigJson(address, {}).dump());
     sidecar->Reload(config);
   }
+  int asked = 0;
   // Lists are asked for, not pushed, and at once.
   static void Asked(nlohmann::json& json) {
     json["settings"]["membership_mode"] = "subscribe";
@@ -71,5 +72,55 @@
   EXPECT_NE(discovery.peers[2]->received.find("index=4 "), std::string::npos);
 }
 
+// Lists may come indented, whole or on a watch, and in any pieces.
+TEST_F(RareTest, ListsThatStandOnSeveralLinesAreReadHoweverTheyAreCut) {
+  ScriptedServer one(io, Serves("one"));
+  ScriptedServer two(io, Serves("two"));
+  Start({Entry("s-1", one.address)});
+  ScriptedServer other(io);
+  const auto calls = [&] { return other.requests(); };
+  Reload(other.address);
+  ASSERT_TRUE(RunUntil(io, [&] { return calls() == 1; }));
+  // A name with brackets and quotes in it ends no object.
+  const std::string whole =
+      List(7, true, {Entry("s-\"}]{\\", one.address), Entry("s-1", one.address)}).dump(2) + "\n";
+  other.peers[0]->Write(Reply("200 OK", whole));
+  ASSERT_TRUE(RunUntil(io, [&] { return calls() == 2; }));
+  EXPECT_NE(other.peers[1]->received.find("index=7 "), std::string::npos);
+  std::string pieces = Watching() + Chunk("\r\n");
+  for (const char c : List(8, false, {Entry("s-2", two.address)}).dump(4) + "\n" +
+                          List(9, false, {Entry("s-1", one.address, "draining")}).dump(1, '\t') + "\r\n\r\n" +
+                          List(10, false, {Entry("s-\"}]{\\", one.address, "removed")}).dump())
+    pieces += Chunk(std::string(1, c));
+  other.peers[1]->Write(pieces);
+  ASSERT_TRUE(
+      RunUntil(io, [&] { return two.requests() > 0 || Ask(Get("w" + std::to_string(++asked))) != "200"; }));
+  const int before = one.requests();
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(Ask(Get("r" + std::to_string(i))), "200");
+  EXPECT_EQ(one.requests(), before);  // drained and removed
+  EXPECT_EQ(calls(), 2);
+}
+
+// A watch whose object never becomes whole is broken, blank lines in its middle or not.
+TEST_F(RareTest, AnObjectWithoutEndDoesNotKeepAWatch) {
+  ScriptedServer one(io, Serves("one"));
+  Start({Entry("s-1", one.address)});
+  watching->Write(Chunk("{\"generation\":42,\n"));
+  const auto watch = discovery.peers.front();
+  asio::steady_timer blank(io);
+  std::function<void()> beat = [&] {
+    if (watch->ended) return;
+    watch->Write(Chunk("\n"));
+    blank.expires_after(100ms);
+    blank.async_wait([&](ErrorCode error) {
+      if (!error) beat();
+    });
+  };
+  beat();
+  EXPECT_TRUE(RunUntil(
+      io, [&] { return discovery.peers.size() == 2; }, 10s));
+  EXPECT_TRUE(RunUntil(io, [&] { return watch->ended; }));
+}
+
 }  // namespace
 }  // namespace merlinrun::net
