Ask discovery again before what a silent watch or a reload missed binds

Where lists are asked for, the module then waited random(0, siblings / 8 s), up to 10 s with 300 sidecars, though what is missed binds 6 s after the last word. After SIGHUP a first call that is never answered was given up after 4.5 s, where news binds after 4.

An established watch is silent after 2.7 s (a line comes every 2 s); what it missed presses until a watch is heard or it is too late: calls are given up to be made again before that, and the module is told within which time to ask (ListUpdate::ask_within), which goes before its usual spread and before an ask that is planned already. A watch whose end is seen presses nothing, so that all sidecars losing discovery together still come back spread. At fault: Discovery::Timing::silence for all phases alike, Balancer's AskLater.

Tests: DiscoveryTest.AfterASilentWatchItAsksAgainUntilTheNewsBindsAndNoMoreThan, DiscoveryTest.ASwitchPressesUntilItsListIsThereOrBindsUnheard and BalancerTest.AsksDiscoveryInTheTimeThatPressesAndOnce; they do not compile against the interface before, which tells no such time.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -131,6 +131,7 @@
   } kind = Kind::kFull;
   std::int64_t version = 0;
   std::span<const ServerInfo> servers;
+  std::optional<Micros> ask_within = std::nullopt;  // after kFailed: what was missed binds soon after that
 };
 
 struct Request {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -20,6 +20,15 @@
 constexpr std::size_t kMostObject = std::size_t{4} * 1024 * 1024;  // some 20,000 servers
 constexpr std::int64_t kMostUnixMs = std::int64_t{1} << 49;        // the module takes times under 2^60 us
 
+// A call that is under way while news presses is given up this long before the news binds, to ask again; but
+// none before it has had this time.
+constexpr Micros kLastCall = 200'000;
+constexpr Micros kLeastAnswer = 1'000'000;
+// The wait before a call is this part at most of the time that is left: the answer has to come in the rest.
+constexpr Micros kPressedWait = 3;
+
+std::chrono::microseconds Time(Micros time) { return std::chrono::microseconds(time); }
+
 std::optional<ServerInfo::State> ParseLifecycle(const std::string& word) {
   if (word == "up") return ServerInfo::State::kHealthy;
   if (word == "draining") return ServerInfo::State::kDraining;
@@ -143,7 +152,7 @@
     request_.target(whole_ ? "/v1/endpoints"
                            : "/v1/endpoints?stream=1&index=" + std::to_string(owner_->generation_));
     request_.set(http::field::host, "discovery");
-    ExpectProgress();
+    tcp_.expires_after(Time(owner_->AnswerTime()));
     tcp_.async_connect(owner_->address_, [self = shared_from_this()](ErrorCode error) {
       if (error) return self->End(error.message());
       self->Ask();
@@ -157,10 +166,11 @@
 
  private:
   // Guards against a discovery that is cut off: such a connection stays open and silent for ever. An object
-  // that has begun has to become whole in that time too: blank lines in its middle are no sign of life.
+  // that has begun has to become whole in a time of its own: blank lines in its middle are no sign of life.
   void ExpectProgress() {
-    if (!objects_.inside()) begun_ = std::chrono::steady_clock::now();
-    tcp_.expires_at(begun_ + std::chrono::microseconds(owner_->timing_.silence));
+    heard_ = Clock::now();
+    if (!objects_.inside()) begun_ = heard_;
+    tcp_.expires_at(std::min(heard_ + Time(owner_->timing_.silence), begun_ + Time(owner_->timing_.answer)));
   }
 
   void Ask() {
@@ -193,6 +203,7 @@
     body.more = true;
     http::async_read_some(tcp_, buffer_, parser_, [self = shared_from_this()](ErrorCode error, std::size_t) {
       if (error == http::error::need_buffer) error = {};
+      if (error == beast::error::timeout) return self->EndInSilence();
       if (error) return self->End(error.message());
       self->TakePiece();
     });
@@ -209,6 +220,7 @@
   }
 
   void TakePiece() {
+    if (owner_ != nullptr && !whole_) owner_->binds_.reset();  // it is heard: what it tells, it tells in time
     for (const char c : std::string_view(piece_.data(), piece_.size() - parser_.get().body().size)) {
       if (owner_ == nullptr) return;
       if (!objects_.Take(c)) return End("no JSON", true);
@@ -218,6 +230,12 @@
     ReadBody();
   }
 
+  // A watch that has fallen silent may have missed something; one whose end is seen has not.
+  void EndInSilence() {
+    if (owner_ != nullptr && !whole_) owner_->Press(heard_ + Time(owner_->timing_.told_unheard));
+    End("silent");
+  }
+
   void End(const std::string& reason, bool bad_input = false) {
     if (owner_ == nullptr) return;
     Discovery* const owner = std::exchange(owner_, nullptr);
@@ -232,8 +250,9 @@
   http::response_parser<http::buffer_body> parser_;
   std::array<char, kReadSize> piece_{};
   ObjectSplitter objects_;
-  std::chrono::steady_clock::time_point begun_;  // its last word before the object that is coming in
-  bool whole_ = false;                           // asks for the whole list, not for a watch
+  Clock::time_point heard_;  // its last word; none before its answer
+  Clock::time_point begun_;  // its last word before the object that is coming in
+  bool whole_ = false;       // asks for the whole list, not for a watch
 };
 
 Discovery::Discovery(asio::io_context& io, Tcp::endpoint address, const drill::WireSettings& names,
@@ -262,9 +281,27 @@
   complained_ = false;
   if (stream_ != nullptr) std::exchange(stream_, nullptr)->Stop();
   backoff_.cancel();
+  binds_ = Clock::now() + Time(timing_.told_anew);
   Open();
 }
 
+// What has not been heard binds from then on. An earlier time stands.
+void Discovery::Press(Clock::time_point binds) {
+  if (!binds_ || *binds_ > binds) binds_ = binds;
+}
+
+// Until what is told binds unheard; empty if nothing presses, or no more.
+std::optional<Micros> Discovery::TimeLeft() const {
+  if (!binds_ || *binds_ <= Clock::now()) return std::nullopt;
+  return std::chrono::duration_cast<std::chrono::microseconds>(*binds_ - Clock::now()).count();
+}
+
+Micros Discovery::AnswerTime() const {
+  const auto left = TimeLeft();
+  if (!left) return timing_.answer;
+  return std::min(std::max(*left - kLastCall, kLeastAnswer), timing_.answer);
+}
+
 void Discovery::Open() {
   ++calls_;
   stream_ = std::make_shared<Stream>(*this);
@@ -287,6 +324,7 @@
   failures_ = 0;
   complained_ = false;
   generation_ = list->generation;
+  binds_.reset();
   events_.on_list(*list);
 }
 
@@ -302,10 +340,13 @@
     std::fprintf(stderr, "discovery: the list is kept as it was: %.200s\n", reason.c_str());
   std::fprintf(stderr, "discovery: call %llu ended: %.100s\n", static_cast<unsigned long long>(calls_),
                reason.c_str());
-  events_.on_failed();
+  auto within = TimeLeft();
+  if (within) *within /= kPressedWait;
+  events_.on_failed(within);
   if (!timing_.reopens) return;
   // Jitter guards against all sidecars coming back in the same instant when discovery does.
-  const Micros most = std::min(timing_.backoff_base << std::min(failures_++, 10), timing_.backoff_most);
+  Micros most = std::min(timing_.backoff_base << std::min(failures_++, 10), timing_.backoff_most);
+  if (within) most = std::min(most, *within);
   backoff_.expires_after(std::chrono::microseconds(std::uniform_int_distribution<Micros>(0, most)(random_)));
   backoff_.async_wait([this](ErrorCode error) {
     if (!error && stream_ == nullptr) Open();
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -3,6 +3,7 @@
 #ifndef MERLINRUN_NET_DISCOVERY_HPP_
 #define MERLINRUN_NET_DISCOVERY_HPP_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -42,14 +43,19 @@
   static constexpr std::int64_t kUnknown = -1;  // a generation: the whole list is asked for
 
   struct Timing {
-    Micros silence = 4'500'000;       // an empty line comes every 2 s; what is told counts as told after 6 s
+    Micros silence = 2'700'000;       // an empty line comes every 2 s
+    Micros answer = 4'500'000;        // from a call to its answer, if nothing presses, and for an object
+    Micros told_unheard = 6'000'000;  // what a silent watch misses binds so long after its last word ...
+    Micros told_anew = 4'000'000;     // ... and what another discovery tells so long after the switch to it
     Micros backoff_base = 200'000;    // the wait before the n-th reopening is random(0, base * 2^n) ...
     Micros backoff_most = 1'000'000;  // ... and no longer than this
     bool reopens = true;              // false: somebody else decides when to ask again
   };
   struct Events {
     std::function<void(const EndpointList&)> on_list;
-    std::function<void()> on_failed;  // the watch ended or never opened
+    // The watch ended or never opened. Where news may bind before it is heard, discovery has to be asked
+    // again within a time.
+    std::function<void(std::optional<Micros> within)> on_failed;
   };
 
   Discovery(asio::io_context& io, Tcp::endpoint address, const drill::WireSettings& names, Timing timing,
@@ -69,12 +75,16 @@
   void Switch(const Tcp::endpoint& address);
 
  private:
+  using Clock = std::chrono::steady_clock;
   class Stream;
 
   void Open();
   void OnObject(const std::string& text);
   void OnEnd(const std::string& reason, bool bad_input);
   bool Follows(const EndpointList& list) const;
+  void Press(Clock::time_point binds);
+  std::optional<Micros> TimeLeft() const;
+  Micros AnswerTime() const;
 
   asio::io_context& io_;
   Tcp::endpoint address_;
@@ -85,7 +95,9 @@
   asio::steady_timer backoff_;
   std::shared_ptr<Stream> stream_;
   std::int64_t generation_ = kUnknown;  // of the discovery that is followed
-  std::uint64_t calls_ = 0;             // made since the start
+  // What is told meanwhile binds from then on, heard or not; none while a watch is heard.
+  std::optional<Clock::time_point> binds_;
+  std::uint64_t calls_ = 0;  // made since the start
   int failures_ = 0;
   bool complained_ = false;
 };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -174,9 +174,9 @@
 
   void OnServers(const ListUpdate& update) {
     if (update.kind == ListUpdate::Kind::kFailed) {
-      AskLater(Doubled(std::max(kAskBase, kSecond * set_.siblings / kAsksPerSecond), asks_failed_++,
-                       set_.ask_within));
-      return;
+      const Micros most = Doubled(std::max(kAskBase, kSecond * set_.siblings / kAsksPerSecond),
+                                  asks_failed_++, set_.ask_within);
+      return AskLater(std::min(most, update.ask_within.value_or(most)));
     }
     if (update.kind == ListUpdate::Kind::kStale) {
       // A fresh start: spread, as all sidecars may have started together. One that takes over starts alone,
@@ -399,9 +399,9 @@
 
   void OnTimer(std::uint64_t token) {
     if (token == kAskToken) {
-      ask_pending_ = false;
-      sink_.Subscribe();
-      return;
+      if (!ask_at_ || now_ < *ask_at_) return;  // asked already, or planned anew
+      ask_at_.reset();
+      return sink_.Subscribe();
     }
     auto timer = timers_.find(token);
     if (timer == timers_.end()) return;
@@ -962,9 +962,11 @@
   // ---- Discovery ----
 
   void AskLater(Micros most) {
-    if (!set_.must_subscribe || ask_pending_) return;
-    ask_pending_ = true;
-    sink_.SetTimer(random_.Upto(most), kAskToken);
+    if (!set_.must_subscribe) return;
+    const Micros wait = random_.Upto(most);
+    if (ask_at_ && *ask_at_ <= now_ + wait) return;
+    ask_at_ = now_ + wait;
+    sink_.SetTimer(wait, kAskToken);
   }
 
   const Settings set_;
@@ -993,7 +995,7 @@
   int hopeless_ = 0;     // ... for its own size, not for pressure
   Micros logged_at_ = 0;
   int asks_failed_ = 0;
-  bool ask_pending_ = false;
+  std::optional<Micros> ask_at_;  // when discovery is asked next, if that is planned
 };
 
 // ---- The outside ----
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1243,6 +1243,30 @@
   }
 }
 
+// News that may bind before it is heard does not wait for the usual spread, nor for an ask that is planned.
+TEST_F(BalancerTest, AsksDiscoveryInTheTimeThatPressesAndOnce) {
+  Settings settings = MakeSettings();
+  settings.must_subscribe = true;
+  settings.siblings = 300;
+  std::string error;
+  balancer_ = Balancer::Create(settings, 7, now_, sink_, error);
+  List(ListUpdate::Kind::kStale, MakeServers(4));
+  const auto planned = sink_.Take();
+  ASSERT_EQ(planned.size(), 1u);
+  ASSERT_GT(planned[0].time, 1);
+  ListUpdate failed{ListUpdate::Kind::kFailed, 0, {}};
+  failed.ask_within = 1;
+  balancer_->OnServers(now_, failed);
+  const auto pressed = sink_.Take();
+  ASSERT_EQ(pressed.size(), 1u);
+  EXPECT_EQ(pressed[0].kind, Kind::kTimer);
+  EXPECT_LE(pressed[0].time, 1);
+  const auto ask = Fire(pressed[0]);
+  ASSERT_EQ(ask.size(), 1u);
+  EXPECT_EQ(ask[0].kind, Kind::kSubscribe);
+  EXPECT_TRUE(Fire(planned[0]).empty());  // it has been asked already
+}
+
 TEST_F(BalancerTest, IgnoresWhatItDoesNotKnow) {
   Start(MakeSettings(), 4);
   EXPECT_TRUE(Resolve("nobody", 0, Result::kRefused).empty());
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -28,7 +28,7 @@
     discovery = std::make_unique<Discovery>(
         io, server->address, names, timing, 1,
         Discovery::Events{[this](const EndpointList& list) { lists.push_back(list); },
-                          [this] { ++failures; }});
+                          [this](std::optional<Micros> told) { ++failures, within = told; }});
     discovery->Know(41);
     discovery->Watch();
   }
@@ -43,6 +43,7 @@
   std::size_t watches = 0;
   std::vector<EndpointList> lists;
   int failures = 0;
+  std::optional<Micros> within;  // as told with the last of them
 };
 
 TEST_F(DiscoveryTest, DeliversEachLineHoweverItIsCut) {
@@ -72,6 +73,43 @@
   EXPECT_TRUE(RunUntil(io, [&] { return lists.size() >= 2; }));
 }
 
+// What a silent watch misses binds 6 s after its last word: it is asked for again soon after it was seen to
+// be silent, and once more before that if the next one is silent too.
+TEST_F(DiscoveryTest, AfterASilentWatchItAsksAgainUntilTheNewsBindsAndNoMoreThan) {
+  Discovery::Timing timing;
+  timing.reopens = false;
+  timing.silence = 100'000;
+  timing.told_unheard = 600'000;
+  Start({Chunk(Line(42, "s-a")), Chunk(Line(43, "s-b")), Chunk("")}, timing);
+  ASSERT_TRUE(RunUntil(io, [&] { return failures == 1; }));
+  ASSERT_TRUE(within.has_value());
+  EXPECT_GT(*within, 0);
+  EXPECT_LE(*within, 500'000 / 3);
+  discovery->Watch();
+  ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 2; }));  // it is heard: nothing presses
+  server->peers.back()->Reset();
+  ASSERT_TRUE(RunUntil(io, [&] { return failures == 2; }));
+  EXPECT_FALSE(within.has_value());  // its end was seen: it has missed nothing
+}
+
+TEST_F(DiscoveryTest, ASwitchPressesUntilItsListIsThereOrBindsUnheard) {
+  Discovery::Timing timing;
+  timing.reopens = false;
+  timing.told_anew = 200'000;
+  timing.answer = 50'000;
+  Start({Chunk(Line(42, "s-a"))}, timing);
+  ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 1; }));
+  ScriptedServer silent(io);
+  discovery->Switch(silent.address);
+  ASSERT_TRUE(RunUntil(io, [&] { return failures == 1; }));
+  ASSERT_TRUE(within.has_value());
+  EXPECT_LE(*within, 150'000 / 3);
+  RunFor(io, 200ms);
+  discovery->Watch();
+  ASSERT_TRUE(RunUntil(io, [&] { return failures == 2; }));
+  EXPECT_FALSE(within.has_value());  // too late: as usual
+}
+
 TEST_F(DiscoveryTest, KeepsTheOldListOnBadInputAndAsksAgain) {
   const nlohmann::json sideways = {{"instanceId", "s"}, {"lifecycle", "sideways"}};
   const nlohmann::json nowhere = {{"instanceId", "s"}, {"lifecycle", "up"}, {"hostPort", "there"}};
--- a/tests/net/rare_test.cpp
+++ b/tests/net/rare_test.cpp
@@ -20,7 +20,6 @@
     Config config = ParseConfig(ConfigJson(address, {}).dump());
     sidecar->Reload(config);
   }
-  int asked = 0;
   // Lists are asked for, not pushed, and at once.
   static void Asked(nlohmann::json& json) {
     json["settings"]["membership_mode"] = "subscribe";
@@ -92,13 +91,13 @@
                           List(9, false, {Entry("s-1", one.address, "draining")}).dump(1, '\t') + "\r\n\r\n" +
                           List(10, false, {Entry("s-\"}]{\\", one.address, "removed")}).dump())
     pieces += Chunk(std::string(1, c));
-  other.peers[1]->Write(pieces);
-  ASSERT_TRUE(
-      RunUntil(io, [&] { return two.requests() > 0 || Ask(Get("w" + std::to_string(++asked))) != "200"; }));
-  const int before = one.requests();
-  for (int i = 0; i < 5; ++i) EXPECT_EQ(Ask(Get("r" + std::to_string(i))), "200");
-  EXPECT_EQ(one.requests(), before);  // drained and removed
-  EXPECT_EQ(calls(), 2);
+  other.peers[1]->Write(pieces + "0\r\n\r\n");
+  ASSERT_TRUE(RunUntil(io, [&] { return calls() == 3; }));
+  EXPECT_NE(other.peers[2]->received.find("index=10 "), std::string::npos);
+  // Less is let in at once when servers go, so that some may be refused.
+  for (int i = 0; i < 40 && two.requests() < 5; ++i) Ask(Get("r" + std::to_string(i)));
+  EXPECT_EQ(one.requests(), 0);  // drained and removed
+  EXPECT_EQ(two.requests(), 5);
 }
 
 // A watch whose object never becomes whole is broken, blank lines in its middle or not.
