Repeat a keyed request only if a dial still fits the window

One id end to end: attempt 0 sent at 2.496 s, reset after 28 ms; attempt 1 planned at 2.617 s, within the window; the connection came up late and its first byte left at 2.877 s. The module looked at the window when it planned; the send happens up to a dial later. At fault: MayRepeat.

Ruled out: the group (attempts stayed in their cell), the time-out and the wait (both look at the window when they end).

The dial's time from the settings has to fit as well. Test: BalancerTest.RepeatsAKeyedRequestOnlyIfADialStillFitsTheWindow fails without the change, passes with it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -911,11 +911,12 @@
     sink_.SetTimer(wait, last_timer_);
   }
 
+  // A repeat that has to dial leaves as late as the dial may come up, and has to leave within the window.
   bool MayRepeat(const Held& held) const {
     const Attempt* ran = held.MayHaveRun();
     const RequestClass& c = ClassOf(held);
     return ran == nullptr || c.repeat == Repeat::kSafe ||
-           (c.repeat == Repeat::kDeduplicated && now_ < ran->sent + c.dedup_window);
+           (c.repeat == Repeat::kDeduplicated && now_ + set_.dial_timeout < ran->sent + c.dedup_window);
   }
 
   // The final answer. A refusal promises that a further try does no harm; where that is not certain it fails.
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -228,6 +228,22 @@
   }
 }
 
+// What is sent may have to dial first: a repeat whose first byte could leave after the window is none.
+TEST_F(BalancerTest, RepeatsAKeyedRequestOnlyIfADialStillFitsTheWindow) {
+  Settings settings = MakeSettings();
+  settings.dial_timeout = 300 * kMs;
+  for (const bool fits : {true, false}) {
+    Start(settings, 20);
+    ASSERT_EQ(Arrive("r", 1)[0].kind, Kind::kSend);
+    now_ += settings.classes[1].dedup_window - settings.dial_timeout - (fits ? 150 * kMs : 0);
+    const auto next = Resolve("r", 0, Result::kReset);
+    ASSERT_EQ(next.size(), 1u);
+    EXPECT_EQ(next[0].kind, fits ? Kind::kTimer : Kind::kFail);  // the first wait is 100 ms at most
+    if (!fits) continue;
+    EXPECT_EQ(Fire(next[0])[0].kind, Kind::kSend);
+  }
+}
+
 TEST_F(BalancerTest, SendsNothingToADrainingOrGoneServer) {
   Start(MakeSettings(), 4);
   Arrive("waits");
