Let an attempt be given up from what it tells, and tell at once what breaks in mid-upload

Doubtful places on reading. (1) Upstream::Connection called job_->events.sent and drawn in place: a callback that gives the attempt up destroys the function that is running, and MessageWriter then asked a null source for more. The module does not do that today (OnWhole only sets an alarm), the interface allows it. They are moved out before they are called, and the writer looks whether it was stopped. (2) A connection that broke while more of an upload was awaited was only noticed when the client went on, or as its 408. (3) An answer before the request's last byte was "never ran" although the write might have ended in the same turn: what the write's end says holds now, as for a reset.

Tests: UpstreamTest.AnAttemptMayBeGivenUpFromWhatItTells (before: bad_function_call) and AConnectionThatBreaksWhileMoreOfTheBodyIsAwaitedIsToldAtOnce (before: nothing told in 2 s) fail without this and pass with it. (3) was not forced: it takes a write in two parts with the answer between them. Cleared, with guards that passed before too: NoiseThatWaitsForItsTurnEndsTheReuse, AnEndThatWaitsForItsTurnEndsTheReuse. The loop reads a socket only when it comes to its handler, so the look before the reuse sees what has come.

--- a/src/net/body.hpp
+++ b/src/net/body.hpp
@@ -110,6 +110,7 @@
       piece_ = std::make_unique<std::array<char, kPiece>>();
       held_.reset();
       if (events_.drawn) std::exchange(events_.drawn, nullptr)();
+      if (!events_.done) return;  // stopped by whom it was told
     }
     drawing_ = true;
     rest_->ReadSome(asio::buffer(*piece_),
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -176,7 +176,7 @@
     moved_at_ = Clock::now();
     MessageWriter<true>::Events events;
     if (request_->rest != nullptr) {
-      events.drawn = [this] { job_->events.drawn(); };
+      events.drawn = [this] { std::exchange(job_->events.drawn, nullptr)(); };
       events.progress = [this] { moved_at_ = Clock::now(); };
       ExpectProgress();
     }
@@ -195,10 +195,11 @@
     // An unfinished request is one that no server begins.
     if (error) {
       if (!source_failed) CountLost();
-      return Fail(Result::kUnreachable, Trouble::kCutRequest);
+      return Fail(Result::kUnreachable, broken_.value_or(Trouble::kCutRequest));
     }
     pool_.counters_.CountAttempt();
-    if (job_->events.sent) job_->events.sent();
+    // It may give this attempt up, and with it all that is here.
+    if (const auto sent = std::exchange(job_->events.sent, nullptr)) sent();
     if (!closed_ && broken_) FailReset();
   }
 
@@ -228,14 +229,13 @@
   }
 
   void OnRead(ErrorCode error, std::size_t n) {
-    if (closed_) return;
+    if (closed_ || broken_) return;
     if (!error) buffer_.commit(n);
     if (relaying_) return error ? OnRelayEnd(error) : Supply();
     if (error) return OnEnd(error);
     if (!job_) return Close();  // nobody asked
-    // Nothing that comes before the request has been written whole can be its answer. Closing ends the
-    // request half-written, and no server begins such a one.
-    if (writing_) return Fail(Result::kUnreachable, Trouble::kEarlyAnswer);
+    // Nothing that comes before the request has been written whole can be its answer.
+    if (writing_) return BreakOff(Trouble::kEarlyAnswer);
     if (!std::exchange(answering_, true)) pool_.idle_limit_.Count(idled_, /*lost=*/false, Now());
     // A spoilt answer is like none: the request may have run, and its answer is lost.
     if (!Parse()) return Fail(Result::kReset, Trouble::kUnreadable);
@@ -299,8 +299,14 @@
       if (error == asio::error::eof && EndsWithTheConnection()) return Complete();
       return FailReset();
     }
-    // Whether the last byte went out shows when the write ends; closing the socket ends it.
-    broken_ = true;
+    BreakOff(Trouble::kCutRequest);
+  }
+
+  // The connection is of no use any more in the middle of a request. Whether its last byte went out shows
+  // when the write ends, and closing the socket ends it; one that waits for more of its body is not whole.
+  void BreakOff(Trouble why) {
+    if (writer_->drawing()) return Fail(Result::kUnreachable, why);
+    broken_ = why;
     ErrorCode ignored;
     socket_.close(ignored);
   }
@@ -437,8 +443,8 @@
   int interim_ = 0;         // 1xx answers to this request
   bool dialing_ = false;
   bool writing_ = false;
-  bool whole_ = false;   // the request's last byte has been written
-  bool broken_ = false;  // the peer ended while it was being written
+  bool whole_ = false;             // the request's last byte has been written
+  std::optional<Trouble> broken_;  // what ended the connection while it was being written
   bool closed_ = false;
 };
 
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -42,6 +42,14 @@
     EXPECT_TRUE(RunUntil(io, [&] { return answers.size() > before; }));
     return answers.size() > before ? answers.back().result : Result::kNeverSent;
   }
+  // Sends after the loop has seen what the peer does, and before it has come to handling it: what one handler
+  // posts comes after one look at the sockets, and before what that look brings.
+  void Cross(const std::function<void()>& peer_acts) {
+    asio::post(io, [this, peer_acts] {
+      peer_acts();
+      asio::post(io, [this] { Send(); });
+    });
+  }
   // The result when the server answers with this text.
   Result TryReply(const std::string& text, bool close = false) {
     ScriptedServer server(io, [&](Peer& peer) {
@@ -261,6 +269,132 @@
   EXPECT_TRUE(RunUntil(io, [&] { return upstream().open_connections() == 1; })) << "still to be used";
 }
 
+// What a server sends behind its answer may have come in, and its turn not yet: a request that is sent in
+// between must not go out on that connection, where the noise would pass for its answer, or for one that came
+// early.
+TEST_F(UpstreamTest, NoiseThatWaitsForItsTurnEndsTheReuse) {
+  ScriptedServer server(io, Serves("1"));
+  Tell(server.address);
+  EXPECT_EQ(Try(), Result::kSuccess);
+  Cross([&] { server.peers[0]->Write(Reply("200 OK", "noise")); });
+  ASSERT_TRUE(RunUntil(io, [&] { return answers.size() == 2; }));
+  EXPECT_EQ(answers.back().result, Result::kSuccess);
+  EXPECT_EQ(*answers.back().message.held, "1");
+  ASSERT_EQ(server.peers.size(), 2U);
+  EXPECT_EQ(server.peers[0]->requests(), 1);
+  EXPECT_EQ(server.peers[1]->requests(), 1);
+  EXPECT_EQ(counters.attempts(), 2U);
+}
+
+// The same for an end.
+TEST_F(UpstreamTest, AnEndThatWaitsForItsTurnEndsTheReuse) {
+  for (const bool reset : {false, true}) {
+    answers.clear();
+    ScriptedServer server(io, Serves("1"));
+    Tell(server.address);
+    EXPECT_EQ(Try(), Result::kSuccess);
+    Cross([&] { reset ? server.peers[0]->Reset() : server.peers[0]->Close(); });
+    ASSERT_TRUE(RunUntil(io, [&] { return answers.size() == 2; }));
+    EXPECT_EQ(answers.back().result, Result::kSuccess) << reset;
+    EXPECT_EQ(server.peers.size(), 2U);
+    Tell(server.address, "removed");
+  }
+}
+
+// A body of two pieces, the second when it is told to come.
+class TwoPieces : public BodySource {
+ public:
+  explicit TwoPieces(asio::io_context& loop) : io_(loop) {}
+  void ReadSome(asio::mutable_buffer into, Taken taken) override {
+    taken_ = std::move(taken);
+    into_ = into;
+    if (come) Come();
+  }
+  void Stop() override { taken_ = nullptr; }
+  void Come() {
+    come = true;
+    asio::post(io_, [this] {
+      if (!taken_) return;
+      const std::size_t n = asio::buffer_copy(into_, asio::buffer(std::string(100, 'y')));
+      std::exchange(taken_, nullptr)({}, n, /*last=*/true);
+    });
+  }
+  bool come = true;
+
+ private:
+  asio::io_context& io_;
+  asio::mutable_buffer into_;
+  Taken taken_;
+};
+
+// Whoever is told of a request's progress may end its attempt there and then, which takes with it what tells.
+// Fails for certain under the address sanitizer.
+TEST_F(UpstreamTest, AnAttemptMayBeGivenUpFromWhatItTells) {
+  for (const bool when_sent : {false, true}) {
+    ScriptedServer server(io);
+    Tell(server.address);
+    const auto body = std::make_shared<TwoPieces>(io);
+    Upstream::AttemptId attempt = 0;
+    std::string told;
+    Upstream::Events events;
+    events.done = [&](UpstreamAnswer answer) { answers.push_back(std::move(answer)); };
+    const auto give_up = [&, name = std::string("a name that is too long to be held in place")] {
+      upstream().GiveUp(attempt);
+      told = name;
+    };
+    events.drawn = [&told] { told = "drawn"; };
+    if (when_sent) {
+      events.sent = give_up;
+    } else {
+      events.drawn = give_up;
+    }
+    Message<true> request;
+    request.head.method(http::verb::post);
+    request.head.target("/api");
+    request.held = std::make_shared<const std::string>("x");
+    request.rest = body;
+    request.length = 101;
+    attempt = upstream().Send("s1", std::move(request), std::move(events));
+    ASSERT_TRUE(RunUntil(io, [&] { return told.size() > 10; })) << when_sent;
+    RunFor(io, 20ms);
+    EXPECT_TRUE(answers.empty());
+    EXPECT_EQ(upstream().open_connections(), 0U);
+    Tell(server.address, "removed");
+  }
+}
+
+// What breaks while more of the body is waited for is told at once, not when the client goes on.
+TEST_F(UpstreamTest, AConnectionThatBreaksWhileMoreOfTheBodyIsAwaitedIsToldAtOnce) {
+  for (const bool early : {false, true}) {
+    answers.clear();
+    ScriptedServer server(io);
+    Tell(server.address);
+    const auto body = std::make_shared<TwoPieces>(io);
+    body->come = false;
+    bool drawn = false;
+    Upstream::Events events;
+    events.done = [&](UpstreamAnswer answer) { answers.push_back(std::move(answer)); };
+    events.drawn = [&] { drawn = true; };
+    events.sent = [] { FAIL() << "it was never whole"; };
+    Message<true> request;
+    request.head.method(http::verb::post);
+    request.head.target("/api");
+    request.held = std::make_shared<const std::string>("x");
+    request.rest = body;
+    request.length = 101;
+    upstream().Send("s1", std::move(request), std::move(events));
+    ASSERT_TRUE(RunUntil(io, [&] { return drawn && server.requests() == 1; }));
+    early ? server.peers[0]->Write(Reply("200 OK", "early")) : server.peers[0]->Reset();
+    ASSERT_TRUE(RunUntil(
+        io, [&] { return !answers.empty(); }, 2s))
+        << early;
+    EXPECT_EQ(answers.back().result, Result::kUnreachable);
+    EXPECT_EQ(upstream().open_connections(), 0U);
+    EXPECT_EQ(counters.attempts(), 0U);
+    Tell(server.address, "removed");
+  }
+}
+
 TEST_F(UpstreamTest, AnAnswerBeforeTheRequestIsWholeIsNone) {
   Tcp::acceptor acceptor(io, Loopback());
   std::unique_ptr<Peer> peer;
