Notice a client that leaves behind further bytes or an unasked upload while it waits

Doubtful place on reading: Inbound::Session::Read did not wait for input while bytes lay behind a held request or its upload was not asked for. Forced in loopback tests: such a client's FIN or RST was not seen, and its request was sent on up to four times more after it had left.

A request found deserted is counted once, as left by its client. Take's check for too much at once is gone, as no more is read than fits: a header over 8 KiB is refused by the parser's limit, as before.

Ruled out: the module (it forgets a request whose client has gone; a timer that is set for it finds nothing), and a dial or an attempt under way (given up, guards below). Not to be seen: a FIN that is stuck behind more than the kernel takes in of an upload nobody asks for.

Tests: LeavingTest.*.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -1,5 +1,6 @@
 #include "inbound.hpp"
 
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -110,6 +111,20 @@
     Respond(Whole(std::move(response)));
   }
 
+  // The client has closed its connection, though what it sent before that may still have to be read.
+  bool Left() const {
+    pollfd look{const_cast<Tcp::socket&>(socket_).native_handle(), POLLRDHUP, 0};
+    return state_ == State::kBusy && ::poll(&look, 1, /*timeout=*/0) == 1 &&
+           (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
+
+  // Tells the owner of a client that has left, in a turn of its own.
+  void LeaveLater() {
+    asio::post(owner_.io_, [self = shared_from_this()] {
+      if (self->Left()) self->OnGone();
+    });
+  }
+
   // Ends what has had its time. Guards against connections that say nothing, half a request or do not read:
   // they would hold their places until none is left for the others.
   void Expire(Clock::time_point now) {
@@ -123,6 +138,7 @@
         }
         return;
       case State::kBusy:  // it is the sidecar's turn, unless more of the body is waited for
+        if (Left()) return OnGone();
         if (taken_ && For(now, limits.request + BodyTime())) FailUpload(TooSlow());
         return;
       case State::kWriting:
@@ -183,12 +199,11 @@
     since_ = Clock::now();
   }
 
-  // Waits for input while a request is held too, so that a client that leaves is noticed; not once what it
-  // has sent behind that request waits here, nor while its body is not asked for, as more would only be kept.
+  // Waits for input while a request is held too, so that a client that leaves is noticed, and takes what
+  // comes behind that request, or of a body that is not asked for, as far as there is room. Beyond that more
+  // would only be kept, and whether the client has left is looked at now and then.
   void Read() {
-    const bool wanted = state_ == State::kReading || state_ == State::kLingering || taken_ ||
-                        (buffer_.size() == 0 && !uploading_);
-    if (waiting_ || !wanted) return;
+    if (waiting_ || Room() == 0) return;
     waiting_ = true;
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
       self->waiting_ = false;
@@ -199,13 +214,20 @@
   void OnReadable(ErrorCode error) {
     if (state_ == State::kClosed) return;
     std::size_t n = 0;
-    if (!error) n = socket_.read_some(asio::buffer(owner_.input_), error);
+    if (!error) n = socket_.read_some(asio::buffer(owner_.input_, Room()), error);
     if (error == asio::error::would_block || error == asio::error::try_again) return Read();
     if (error) return OnGone();
     Take(n);
     if (state_ != State::kClosed) Read();
   }
 
+  // How much may be read at once. A parser that reads leaves less than a header behind, so there is always
+  // some.
+  std::size_t Room() const {
+    if (state_ == State::kLingering) return owner_.input_.size();
+    return std::min(owner_.input_.size(), buffer_.max_size() - buffer_.size());
+  }
+
   void OnGone() {
     const auto self = shared_from_this();
     const bool busy = state_ == State::kBusy;
@@ -222,10 +244,6 @@
       if (most_lingering_ > kMostLingering) since_ = Clock::now();  // the rest of a body that was in order
       return;
     }
-    if (buffer_.size() + n > buffer_.max_size()) {  // the parser wants more at once than it may
-      const Fault fault{http::status::bad_request, "malformed request\n"};
-      return uploading_ ? FailUpload(fault) : state_ == State::kReading ? Reject(fault) : Close();
-    }
     buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(owner_.input_, n)));
     if (state_ == State::kReading) return Parse();
     if (taken_) Supply();
@@ -426,6 +444,12 @@
 
 void Inbound::Reject(const SessionPtr& session, const Fault& fault) { session->Reject(fault); }
 
+bool Inbound::ClientLeft(const SessionPtr& session) {
+  if (!session->Left()) return false;
+  session->LeaveLater();
+  return true;
+}
+
 void Inbound::Accept() {
   if (!acceptor_.is_open()) return;
   acceptor_.async_accept(
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -69,6 +69,8 @@
   static void Respond(const SessionPtr& session, Reply reply);
   // The same for a request that is wrong: its connection is closed, as what is behind it cannot be trusted.
   static void Reject(const SessionPtr& session, const Fault& fault);
+  // Whether the client of the session's request has left by now; if so, on_gone tells of it soon.
+  static bool ClientLeft(const SessionPtr& session);
 
   // From now on each answer closes its connection.
   void Drain();
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -309,6 +309,8 @@
   const std::string key(KeyOf(View(head.target())));
   in.key = key;
   balancer_->OnRequest(now, in);
+  const auto it = calls_.find(id);
+  if (it != calls_.end()) it->second.waited = true;
   EraseIfOver(id);
 }
 
@@ -515,7 +517,9 @@
   attempt.sent = now;
   attempt.timeout = timeout;
   attempt.expires = timeout > 0 && !call.partial ? std::min(call.deadline, now + timeout) : call.deadline;
-  if (call.session == nullptr || call.spent || now >= attempt.expires) {
+  // The client may have left while its request waited, and nobody have come to notice it.
+  const bool deserted = call.session != nullptr && call.waited && Inbound::ClientLeft(call.session);
+  if (call.session == nullptr || deserted || call.spent || now >= attempt.expires) {
     call.attempts.push_back(attempt);
     asio::post(io_, [this, id, number] { Conclude(id, number, Result::kNeverSent); });
     return;
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -68,6 +68,7 @@
     Message<true> request;
     bool partial = false;         // its body is still coming in
     bool spent = false;           // some of its body has been passed on and is not held
+    bool waited = false;          // the turn in which it came is over
     Inbound::SessionPtr session;  // null once it has been answered or its client has gone
     std::size_t request_class = 0;
     Micros deadline = 0;  // the final answer is owed before
--- a/tests/net/rare_test.cpp
+++ b/tests/net/rare_test.cpp
@@ -27,6 +27,108 @@
   }
 };
 
+// ---- A client that leaves while its request waits ----
+
+class LeavingTest : public RareTest {
+ protected:
+  enum class How { kFin, kReset };
+
+  static std::string Declined() { return Reply("503 Service Unavailable", "", "Srv-Declined: 1\r\n"); }
+  Counters::Class Of(std::size_t request_class) const { return sidecar->counters().classes()[request_class]; }
+
+  // Sends this, has its first attempt turned away, leaves, and looks at what is done for it after that.
+  void LeaveDuringTheWait(const std::string& text, std::size_t request_class, How how) {
+    std::shared_ptr<Peer> client;
+    int declined = 0;
+    ScriptedServer server(io, [&](Peer& peer) {
+      if (declined >= peer.requests()) return;
+      ++declined;
+      peer.Write(Declined());
+      if (declined == 1) how == How::kFin ? client->Close() : client->Reset();
+    });
+    Start({Entry("s-1", server.address)});
+    client = Connect(io, sidecar->address());
+    client->Write(text);
+    ASSERT_TRUE(RunUntil(io, [&] { return declined == 1; }));
+    ASSERT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0; }));
+    RunFor(io, 300ms);  // longer than the longest first wait
+    EXPECT_EQ(server.requests(), 1);
+    EXPECT_EQ(sidecar->counters().attempts(), 1U);
+    EXPECT_EQ(sidecar->counters().open(), 0U);
+    const Counters::Class counted = Of(request_class);
+    EXPECT_EQ(counted.refused + counted.failed + counted.served, 0U);
+    EXPECT_EQ(counted.gone, 1U);
+  }
+};
+
+TEST_F(LeavingTest, ByAFin) { LeaveDuringTheWait(Get("a"), 0, How::kFin); }
+TEST_F(LeavingTest, ByAReset) { LeaveDuringTheWait(Get("a"), 0, How::kReset); }
+TEST_F(LeavingTest, ByAFinWithBytesBehindTheRequest) {
+  LeaveDuringTheWait(Get("a") + Get("b").substr(0, 20), 0, How::kFin);
+}
+TEST_F(LeavingTest, ByAResetWithARequestBehindTheRequest) {
+  LeaveDuringTheWait(Get("a") + Get("b"), 0, How::kReset);
+}
+TEST_F(LeavingTest, ByAFinWithMoreBehindTheRequestThanIsRead) {
+  std::string more;
+  for (int i = 0; i < 1000; ++i) more += Get("b" + std::to_string(i));
+  LeaveDuringTheWait(Get("a") + more, 0, How::kFin);
+}
+
+// Some of an upload has come, more than is read of it, and nobody is there to be sent it. (An end that is
+// stuck behind more than the kernel takes in cannot be seen before that has been read.)
+TEST_F(LeavingTest, WithAnUploadHalfDone) {
+  for (const auto how : {How::kFin, How::kReset}) {
+    ScriptedServer server(io);
+    server.StopListening();
+    watching = nullptr;
+    Start({Entry("s-1", server.address)});
+    const auto client = Client(
+        "POST /api HTTP/1.1\r\nReq-Id: u\r\nReq-Kind: pay\r\nIdempotency-Key: k\r\n"
+        "Content-Length: 400000\r\n\r\n" +
+        std::string(120000, 'x'));
+    ASSERT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 1; }));
+    how == How::kFin ? client->Close() : client->Reset();
+    ASSERT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0; }));
+    EXPECT_EQ(Of(1).gone, 1U);
+    EXPECT_EQ(Of(1).refused + Of(1).failed, 0U);
+    EXPECT_EQ(sidecar->counters().open(), 0U);
+    discovery.peers.clear();
+  }
+}
+
+// The end of the client's connection and the end of the wait come in one turn of the loop.
+TEST_F(LeavingTest, InTheTurnOfTheRetry) {
+  std::shared_ptr<Peer> client;
+  ScriptedServer server(io);
+  Start({Entry("s-1", server.address)});
+  client = Connect(io, sidecar->address());
+  client->Write(Get("a") + Get("b"));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  server.peers[0]->Write(Reply("503 Service Unavailable", "", "Srv-Declined: 1\r\nConnection: close\r\n"));
+  // Until the sidecar has taken the refusal; then the loop stands still until the longest wait is over.
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->upstream_connections() == 0; }));
+  client->Close();
+  const auto over = std::chrono::steady_clock::now() + 110ms;
+  while (std::chrono::steady_clock::now() < over) continue;
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0; }));
+  EXPECT_EQ(server.requests(), 1);
+  EXPECT_EQ(Of(0).gone, 1U);
+}
+
+// While the connection to the server is coming up: what was not written is never written.
+TEST_F(LeavingTest, DuringTheDial) {
+  ScriptedServer server(io);
+  Start({Entry("s-1", server.address)});
+  const auto client = Connect(io, sidecar->address());
+  client->Write(Get("a"));
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->upstream_connections() == 1; }));
+  client->Reset();
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0; }));
+  EXPECT_EQ(sidecar->upstream_connections(), 0U);
+  EXPECT_EQ(Of(0).gone, 1U);
+}
+
 // ---- Watches ----
 
 // The versions of one discovery say nothing at another, and one that is asked for changes after a version of
