Keep settings apart: learnt figures, names that are one on the wire, unknown groups

One customer could pick up another's settings by: - `$TMPDIR/learnt`: figures by position alone, taken over by a process with other classes, deadlines or tenants as long as their number fit. They begin with what they were learnt under now, and other ones are left (Balancer::Recall). - class names: spaces and commas are underscores on the wire, and Req-Kind was looked up in that form, so that of two such classes the second one's requests ran with the first one's deadline and effect. The settings' own spelling goes first. - zones and machines: the list's names were compared with the wire's form unchanged. A zone with a space was unknown (-1), and all unknown zones were one: a keyed request that may have run went on to any of them (Discovery's ParseEntry). - a server without a cell, or in an unknown zone: the same, in the module. An unknown group is nobody's now (MayUse).

Ruled out: state of a request on a kept connection (parser, deadline and key are made anew for each). WhatMakesNoSenseIsNotRecalled keeps its cases, now behind a right first line too, and has more of them.

--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -489,6 +489,9 @@
 }
 
 int Sidecar::ClassIndex(std::string_view name) const {
+  // Two names may be one on the wire: each is its own class all the same.
+  const auto own = std::find(config_.class_names.begin(), config_.class_names.end(), name);
+  if (own != config_.class_names.end()) return static_cast<int>(own - config_.class_names.begin());
   const auto& classes = config_.wire.settings.classes;
   const std::string wire_name = WireName(name);
   const auto it = std::find_if(classes.begin(), classes.end(),
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -261,7 +261,7 @@
 
   // Guards against a successor that takes an overload for what is usual, as it begins in the middle of it.
   std::string Learned() {
-    std::string text;
+    std::string text = MarkOf(set_) + "\n";
     const auto write = [&](double value) {
       char digits[32];
       std::snprintf(digits, sizeof digits, "%.9g ", value);
@@ -278,6 +278,9 @@
 
   // All or nothing: it is read twice, and taken the second time.
   bool Recall(std::string_view learned) {
+    const std::string mark = MarkOf(set_) + "\n";
+    if (learned.substr(0, mark.size()) != mark) return false;
+    learned.remove_prefix(mark.size());
     for (const bool take : {false, true}) {
       std::istringstream in{std::string(learned)};
       const auto read = [&](double& value) {
@@ -844,8 +847,9 @@
     const RequestClass& c = ClassOf(held);
     if (!MayRepeat(held)) return false;
     if (ran == nullptr || c.repeat == Repeat::kSafe) return true;
-    if (c.group == DedupGroup::kZone) return ran->zone == server.info.zone;
-    if (c.group == DedupGroup::kCell) return ran->cell == server.info.cell;
+    // Where it ran may be unknown: that is nobody's group.
+    if (c.group == DedupGroup::kZone) return ran->zone >= 0 && ran->zone == server.info.zone;
+    if (c.group == DedupGroup::kCell) return ran->cell >= 0 && ran->cell == server.info.cell;
     return true;
   }
 
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -135,6 +135,18 @@
   }
 };
 
+// Which classes and tenants something was learnt under, on one line: figures of one deployment say nothing in
+// another.
+inline std::string MarkOf(const Settings& settings) {
+  std::string mark;
+  const auto add = [&](const std::string& name) { mark += std::to_string(name.size()) + ":" + name + " "; };
+  for (const RequestClass& c : settings.classes)
+    add(c.name), add(std::to_string(c.aim)), add(std::to_string(c.deadline));
+  mark += "for ";
+  for (const Tenant& tenant : settings.tenants) add(tenant.name);
+  return mark;
+}
+
 struct ClassLoad {  // what this sidecar has seen of a class
   Mean work{1, 0};  // usual work of one request: the hint where there is one, else the time of its answers
   Mean answer;      // usual time of an answer
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -477,14 +477,54 @@
   Start(MakeSettings(), 3);
   const std::string before = balancer_->Learned();
   const std::string torn = before.substr(0, before.size() - 2);
-  for (const std::string& text : {std::string(), std::string("."), torn, "x " + before, "-1 " + before,
-                                  "nan " + before, "1 2 3\n.\n" + before})
+  const std::string mark = before.substr(0, before.find('\n') + 1);
+  const std::string rest = before.substr(mark.size());
+  for (const std::string& text :
+       {std::string(), std::string("."), torn, mark, mark + ".", mark + "x " + rest, mark + "-1 " + rest,
+        mark + "nan " + rest, mark + "1 2 3\n.\n" + rest, "x " + before, rest})
     EXPECT_FALSE(balancer_->Recall(now_, text)) << text;
   EXPECT_EQ(balancer_->Learned(), before);
   EXPECT_TRUE(balancer_->Recall(now_, before));
   EXPECT_EQ(balancer_->Learned(), before);
 }
 
+// What was learnt under other classes, deadlines or tenants is another deployment's.
+TEST_F(BalancerTest, WhatWasLearntUnderOtherSettingsIsNotRecalled) {
+  Start(MakeSettings(), 3);
+  const std::string learnt = balancer_->Learned();
+  std::vector<Settings> others(4, MakeSettings());
+  others[0].classes[1].name = "d";
+  others[1].classes[2].deadline += 1;
+  others[2].tenants.push_back({"x", 1, 0});
+  std::swap(others[3].classes[0].name, others[3].classes[1].name = "cc");
+  for (const Settings& other : others) {
+    Start(other, 3);
+    const std::string own = balancer_->Learned();
+    EXPECT_FALSE(balancer_->Recall(now_, learnt));
+    EXPECT_EQ(balancer_->Learned(), own);
+  }
+  Start(MakeSettings(), 3);
+  EXPECT_TRUE(balancer_->Recall(now_, learnt));
+}
+
+// Two servers of which nobody knows the group are not of one.
+TEST_F(BalancerTest, AnUnknownGroupIsNobodys) {
+  for (const auto group : {DedupGroup::kZone, DedupGroup::kCell}) {
+    Settings settings = MakeSettings();
+    settings.classes[1].group = group;
+    Start(settings, 0);
+    auto servers = MakeServers(6);
+    for (ServerInfo& info : servers) info.zone = -1, info.cell = -1;
+    List(ListUpdate::Kind::kFull, servers);
+    ASSERT_EQ(Arrive("r", 1)[0].kind, Kind::kSend);
+    const auto wait = Resolve("r", 0, Result::kReset);
+    ASSERT_EQ(wait[0].kind, Kind::kTimer);
+    Action next = wait[0];
+    for (int i = 0; i < 10 && next.kind == Kind::kTimer; ++i) next = Fire(next).at(0);
+    EXPECT_EQ(next.kind, Kind::kFail);
+  }
+}
+
 // A sidecar that restarts knows nothing but its last list; many servers may be young in it at once.
 TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtYoungServers) {
   auto servers = MakeServers(4);
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -177,6 +177,18 @@
   EXPECT_TRUE(RunUntil(io, [&] { return watches == 2; }));
 }
 
+// On the wire, names have no spaces and commas; the list has them as they are.
+TEST(ParseList, FindsZonesAndMachinesWhateverTheyAreCalled) {
+  const drill::WireSettings names{{}, {"west", "north_sea__2"}, {"std", "big_one"}};
+  nlohmann::json entry = Entry("s", {asio::ip::make_address("127.0.0.1"), 80}, "up", 0, "north sea, 2");
+  entry["machineType"] = "big one";
+  std::string error;
+  const auto list = ParseList(List(1, true, {entry}), names, error);
+  ASSERT_TRUE(list) << error;
+  EXPECT_EQ(list->endpoints[0].info.zone, 1);
+  EXPECT_EQ(list->endpoints[0].info.machine, 1);
+}
+
 // Were the time taken anew for each list, one start would look like ever new ones, with a cold server.
 TEST(ParseList, AStartIsTheSameTimeInEachList) {
   std::string error;
--- a/tests/net/rare_test.cpp
+++ b/tests/net/rare_test.cpp
@@ -129,6 +129,32 @@
   EXPECT_EQ(Of(0).gone, 1U);
 }
 
+// ---- Settings apart ----
+
+// Requests of several classes on one kept connection each get their own class, also where two names are one
+// on the wire; and what is wrong costs nobody theirs.
+TEST_F(RareTest, EachRequestHasItsOwnClassOnOneConnection) {
+  ScriptedServer server(io, Serves("ok"));
+  Start({Entry("s-1", server.address)}, [](nlohmann::json& json) {
+    auto& classes = json["settings"]["grades"];
+    classes[0]["name"] = "look_at it";
+    classes[1]["name"] = "look at it";
+    classes[1]["repeat"] = "idempotent";
+  });
+  const auto get = [](const std::string& id, const std::string& kind) {
+    return "GET /api HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nReq-Deadline: 5.0\r\n\r\n";
+  };
+  const auto client = Client(get("a", "look_at it") + get("b", "look at it") + get("c", "look at it") +
+                             Post("port", "d") + get("e", "look_at it"));
+  EXPECT_EQ(Status(*client, 5), "200");
+  const auto& classes = sidecar->counters().classes();
+  EXPECT_EQ(classes[0].served, 2U);
+  EXPECT_EQ(classes[1].served, 2U);
+  EXPECT_EQ(classes[2].served, 1U);
+  EXPECT_EQ(Ask(get("f", "look_at")), "404");
+  EXPECT_EQ(server.requests(), 5);
+}
+
 // ---- Watches ----
 
 // The versions of one discovery say nothing at another, and one that is asked for changes after a version of
