--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -14,11 +14,22 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "config.hpp"
+
 namespace merlinrun::net {
 namespace {
 
-constexpr std::size_t kMostLine = std::size_t{4} * 1024 * 1024;  // some 20,000 servers
-constexpr std::int64_t kMostUnixMs = std::int64_t{1} << 49;      // the module takes times under 2^60 us
+constexpr std::size_t kMostObject = std::size_t{4} * 1024 * 1024;  // some 20,000 servers
+constexpr std::int64_t kMostUnixMs = std::int64_t{1} << 49;        // the module takes times under 2^60 us
+
+// A call that is under way while news presses is given up this long before the news binds, to ask again; but
+// none before it has had this time.
+constexpr Micros kLastCall = 200'000;
+constexpr Micros kLeastAnswer = 1'000'000;
+// The wait before a call is this part at most of the time that is left: the answer has to come in the rest.
+constexpr Micros kPressedWait = 3;
+
+std::chrono::microseconds Time(Micros time) { return std::chrono::microseconds(time); }
 
 std::optional<ServerInfo::State> ParseLifecycle(const std::string& word) {
   if (word == "up") return ServerInfo::State::kHealthy;
@@ -37,8 +48,8 @@
   const auto address = ParseAddress(json.value("hostPort", std::string()));
   if (!address && out.info.state != ServerInfo::State::kGone) error = "a hostPort that is no address";
   out.address = address.value_or(Tcp::endpoint());
-  out.info.zone = drill::IndexOf(names.zones, json.value("zone", std::string()));
-  out.info.machine = drill::IndexOf(names.machines, json.value("machineType", std::string()));
+  out.info.zone = drill::IndexOf(names.zones, WireName(json.value("zone", std::string())));
+  out.info.machine = drill::IndexOf(names.machines, WireName(json.value("machineType", std::string())));
   out.info.cell = json.value("cell", std::int64_t{-1});
   out.info.weight = json.value("weight", 1.0);
   const auto started = json.value("startedAtMs", std::int64_t{0});
@@ -77,6 +88,61 @@
   return std::nullopt;
 }
 
+namespace {
+
+// Cuts what comes into JSON objects by their brackets: an object may stand on one line or on several, and may
+// come in any pieces.
+class ObjectSplitter {
+ public:
+  // False if no JSON goes on like that. What is wrong in other ways shows when the object is read; this much
+  // is seen at once, so that nobody waits for the end of what has none.
+  bool Take(char c) {
+    if (depth_ == 0) {
+      if (IsSpace(c)) return true;
+      if (c != '{') return false;
+    }
+    text_.push_back(c);
+    if (in_string_) {
+      if (c == '\n') return false;
+      if (!std::exchange(escaped_, !escaped_ && c == '\\') && c == '"') in_string_ = false;
+      return true;
+    }
+    if (IsSpace(c)) return true;
+    if (std::exchange(last_, c) == '{' && c != '"' && c != '}') return false;
+    if (c == '"') {
+      in_string_ = true;
+    } else if (c == '{' || c == '[') {
+      ++depth_;
+    } else if (c == '}' || c == ']') {
+      whole_ = --depth_ == 0;
+    } else {
+      return kBetweenStrings.find(c) != std::string_view::npos;
+    }
+    return true;
+  }
+  // The object that the last character has made whole, if it has.
+  std::optional<std::string> Whole() {
+    if (!std::exchange(whole_, false)) return std::nullopt;
+    return std::exchange(text_, {});
+  }
+  bool inside() const { return depth_ > 0; }
+  std::size_t size() const { return text_.size(); }
+
+ private:
+  static constexpr std::string_view kBetweenStrings =
+      ":,+-.0123456789eEtrufalsn";  // numbers, true, false, null
+  static bool IsSpace(char c) { return c == ' ' || c == '\t' || c == '\r' || c == '\n'; }
+
+  std::string text_;
+  int depth_ = 0;
+  char last_ = 0;  // the last that is no space and in no string
+  bool in_string_ = false;
+  bool escaped_ = false;
+  bool whole_ = false;
+};
+
+}  // namespace
+
 // One watch, from its connection to its end. Reports its end once, unless it is stopped first.
 class Discovery::Stream : public std::enable_shared_from_this<Stream> {
  public:
@@ -88,7 +154,7 @@
     request_.target(whole_ ? "/v1/endpoints"
                            : "/v1/endpoints?stream=1&index=" + std::to_string(owner_->generation_));
     request_.set(http::field::host, "discovery");
-    ExpectProgress();
+    tcp_.expires_after(Time(owner_->AnswerTime()));
     tcp_.async_connect(owner_->address_, [self = shared_from_this()](ErrorCode error) {
       if (error) return self->End(error.message());
       self->Ask();
@@ -101,8 +167,13 @@
   }
 
  private:
-  // Guards against a discovery that is cut off: such a connection stays open and silent for ever.
-  void ExpectProgress() { tcp_.expires_after(std::chrono::microseconds(owner_->timing_.silence)); }
+  // Guards against a discovery that is cut off: such a connection stays open and silent for ever. An object
+  // that has begun has to become whole in a time of its own: blank lines in its middle are no sign of life.
+  void ExpectProgress() {
+    heard_ = Clock::now();
+    if (!objects_.inside()) begun_ = heard_;
+    tcp_.expires_at(std::min(heard_ + Time(owner_->timing_.silence), begun_ + Time(owner_->timing_.answer)));
+  }
 
   void Ask() {
     http::async_write(tcp_, request_, [self = shared_from_this()](ErrorCode error, std::size_t) {
@@ -134,6 +205,7 @@
     body.more = true;
     http::async_read_some(tcp_, buffer_, parser_, [self = shared_from_this()](ErrorCode error, std::size_t) {
       if (error == http::error::need_buffer) error = {};
+      if (error == beast::error::timeout) return self->EndInSilence();
       if (error) return self->End(error.message());
       self->TakePiece();
     });
@@ -143,8 +215,6 @@
   void OnBodyEnd() {
     if (!whole_) return End("the watch ended");
     Discovery* const owner = owner_;
-    if (!line_.empty()) owner->OnLine(line_);
-    if (owner_ == nullptr) return;  // it could not be read
     if (owner->generation_ == kUnknown) return End("no list", true);
     owner_ = nullptr;
     tcp_.close();
@@ -152,19 +222,22 @@
   }
 
   void TakePiece() {
-    line_.append(piece_.data(), piece_.size() - parser_.get().body().size);
-    std::size_t begin = 0;
-    for (std::size_t end = line_.find('\n'); end != std::string::npos; end = line_.find('\n', begin)) {
-      const std::string line = line_.substr(begin, end - begin);
-      begin = end + 1;
-      if (owner_ != nullptr && line.find_first_not_of(" \r") != std::string::npos) owner_->OnLine(line);
+    if (owner_ != nullptr && !whole_) owner_->binds_.reset();  // it is heard: what it tells, it tells in time
+    for (const char c : std::string_view(piece_.data(), piece_.size() - parser_.get().body().size)) {
       if (owner_ == nullptr) return;
+      if (!objects_.Take(c)) return End("no JSON", true);
+      if (const auto object = objects_.Whole()) owner_->OnObject(*object);
     }
-    line_.erase(0, begin);
-    if (line_.size() > kMostLine) return End("a line without end", true);
+    if (objects_.size() > kMostObject) return End("an object without end", true);
     ReadBody();
   }
 
+  // A watch that has fallen silent may have missed something; one whose end is seen has not.
+  void EndInSilence() {
+    if (owner_ != nullptr && !whole_) owner_->Press(heard_ + Time(owner_->timing_.told_unheard));
+    End("silent");
+  }
+
   void End(const std::string& reason, bool bad_input = false) {
     if (owner_ == nullptr) return;
     Discovery* const owner = std::exchange(owner_, nullptr);
@@ -178,8 +251,10 @@
   http::request<http::empty_body> request_;
   http::response_parser<http::buffer_body> parser_;
   std::array<char, kReadSize> piece_{};
-  std::string line_;
-  bool whole_ = false;  // asks for the whole list, not for a watch
+  ObjectSplitter objects_;
+  Clock::time_point heard_;  // its last word; none before its answer
+  Clock::time_point begun_;  // its last word before the object that is coming in
+  bool whole_ = false;       // asks for the whole list, not for a watch
 };
 
 Discovery::Discovery(asio::io_context& io, Tcp::endpoint address, const drill::WireSettings& names,
@@ -196,10 +271,8 @@
   if (stream_ != nullptr) stream_->Stop();
 }
 
-void Discovery::Watch(std::int64_t generation) {
-  if (stream_ != nullptr) return;
-  generation_ = generation;
-  Open();
+void Discovery::Watch() {
+  if (stream_ == nullptr) Open();
 }
 
 void Discovery::Switch(const Tcp::endpoint& address) {
@@ -210,18 +283,36 @@
   complained_ = false;
   if (stream_ != nullptr) std::exchange(stream_, nullptr)->Stop();
   backoff_.cancel();
+  binds_ = Clock::now() + Time(timing_.told_anew);
   Open();
 }
 
+// What has not been heard binds from then on. An earlier time stands.
+void Discovery::Press(Clock::time_point binds) {
+  if (!binds_ || *binds_ > binds) binds_ = binds;
+}
+
+// Until what is told binds unheard; empty if nothing presses, or no more.
+std::optional<Micros> Discovery::TimeLeft() const {
+  if (!binds_ || *binds_ <= Clock::now()) return std::nullopt;
+  return std::chrono::duration_cast<std::chrono::microseconds>(*binds_ - Clock::now()).count();
+}
+
+Micros Discovery::AnswerTime() const {
+  const auto left = TimeLeft();
+  if (!left) return timing_.answer;
+  return std::min(std::max(*left - kLastCall, kLeastAnswer), timing_.answer);
+}
+
 void Discovery::Open() {
   ++calls_;
   stream_ = std::make_shared<Stream>(*this);
   stream_->Open();
 }
 
-void Discovery::OnLine(const std::string& line) {
+void Discovery::OnObject(const std::string& text) {
   std::string error = "no JSON";
-  const auto json = nlohmann::json::parse(line, nullptr, /*allow_exceptions=*/false);
+  const auto json = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
   const auto list = json.is_discarded() ? std::nullopt : ParseList(json, names_, error);
   if (list && !Follows(*list)) {
     generation_ = kUnknown;
@@ -235,6 +326,7 @@
   failures_ = 0;
   complained_ = false;
   generation_ = list->generation;
+  binds_.reset();
   events_.on_list(*list);
 }
 
@@ -250,10 +342,13 @@
     std::fprintf(stderr, "discovery: the list is kept as it was: %.200s\n", reason.c_str());
   std::fprintf(stderr, "discovery: call %llu ended: %.100s\n", static_cast<unsigned long long>(calls_),
                reason.c_str());
-  events_.on_failed();
+  auto within = TimeLeft();
+  if (within) *within /= kPressedWait;
+  events_.on_failed(within);
   if (!timing_.reopens) return;
   // Jitter guards against all sidecars coming back in the same instant when discovery does.
-  const Micros most = std::min(timing_.backoff_base << std::min(failures_++, 10), timing_.backoff_most);
+  Micros most = std::min(timing_.backoff_base << std::min(failures_++, 10), timing_.backoff_most);
+  if (within) most = std::min(most, *within);
   backoff_.expires_after(std::chrono::microseconds(std::uniform_int_distribution<Micros>(0, most)(random_)));
   backoff_.async_wait([this](ErrorCode error) {
     if (!error && stream_ == nullptr) Open();
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -140,7 +140,7 @@
                  {[this](const EndpointList& list) {
                     OnList(list.whole ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
                   },
-                  [this] { OnDiscoveryFailed(); }}),
+                  [this](std::optional<Micros> within) { OnDiscoveryFailed(within); }}),
       drain_timer_(io),
       look_timer_(io),
       log_timer_(io) {
@@ -174,10 +174,10 @@
         std::make_unique<Management>(io_, *config_.management, Management::Limits{}, std::move(calls));
   }
   OnList(ListUpdate::Kind::kStale, config_.known);
-  if (config_.known.endpoints.empty()) generation_ = Discovery::kUnknown;
+  discovery_.Know(config_.known.endpoints.empty() ? Discovery::kUnknown : config_.known.generation);
   if (config_.wire.settings.takes_over && !balancer_->Recall(Now(), shared_.Left()))
     std::fprintf(stderr, "shared folder: nothing to be learnt from the process before this one\n");
-  if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
+  if (!config_.wire.settings.must_subscribe) discovery_.Watch();
   if (config_.accept_fd || config_.management) Look();
 }
 
@@ -235,7 +235,6 @@
 }
 
 void Sidecar::OnList(ListUpdate::Kind kind, const EndpointList& list) {
-  generation_ = list.generation;
   EndpointList applied = list;
   applied.whole = kind != ListUpdate::Kind::kDelta;
   upstream_.Apply(applied);
@@ -248,9 +247,11 @@
   balancer_->OnServers(Now(), {kind, list.generation, servers});
 }
 
-void Sidecar::OnDiscoveryFailed() {
-  if (config_.wire.settings.must_subscribe)
-    balancer_->OnServers(Now(), {ListUpdate::Kind::kFailed, generation_, {}});
+void Sidecar::OnDiscoveryFailed(std::optional<Micros> within) {
+  if (!config_.wire.settings.must_subscribe) return;
+  ListUpdate update{ListUpdate::Kind::kFailed, 0, {}};
+  update.ask_within = within;
+  balancer_->OnServers(Now(), update);
 }
 
 // ---- A request's life ----
@@ -308,6 +309,8 @@
   const std::string key(KeyOf(View(head.target())));
   in.key = key;
   balancer_->OnRequest(now, in);
+  const auto it = calls_.find(id);
+  if (it != calls_.end()) it->second.waited = true;
   EraseIfOver(id);
 }
 
@@ -486,6 +489,9 @@
 }
 
 int Sidecar::ClassIndex(std::string_view name) const {
+  // Two names may be one on the wire: each is its own class all the same.
+  const auto own = std::find(config_.class_names.begin(), config_.class_names.end(), name);
+  if (own != config_.class_names.end()) return static_cast<int>(own - config_.class_names.begin());
   const auto& classes = config_.wire.settings.classes;
   const std::string wire_name = WireName(name);
   const auto it = std::find_if(classes.begin(), classes.end(),
@@ -514,7 +520,9 @@
   attempt.sent = now;
   attempt.timeout = timeout;
   attempt.expires = timeout > 0 && !call.partial ? std::min(call.deadline, now + timeout) : call.deadline;
-  if (call.session == nullptr || call.spent || now >= attempt.expires) {
+  // The client may have left while its request waited, and nobody have come to notice it.
+  const bool deserted = call.session != nullptr && call.waited && Inbound::ClientLeft(call.session);
+  if (call.session == nullptr || deserted || call.spent || now >= attempt.expires) {
     call.attempts.push_back(attempt);
     asio::post(io_, [this, id, number] { Conclude(id, number, Result::kNeverSent); });
     return;
@@ -572,7 +580,7 @@
 }
 
 void Sidecar::Subscribe() {
-  asio::post(io_, [this] { discovery_.Watch(generation_); });
+  asio::post(io_, [this] { discovery_.Watch(); });
 }
 
 void Sidecar::Log(std::string_view text) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -68,6 +68,7 @@
     Message<true> request;
     bool partial = false;         // its body is still coming in
     bool spent = false;           // some of its body has been passed on and is not held
+    bool waited = false;          // the turn in which it came is over
     Inbound::SessionPtr session;  // null once it has been answered or its client has gone
     std::size_t request_class = 0;
     Micros deadline = 0;  // the final answer is owed before
@@ -89,7 +90,7 @@
 
   Micros Now() const;
   void OnList(ListUpdate::Kind kind, const EndpointList& list);
-  void OnDiscoveryFailed();
+  void OnDiscoveryFailed(std::optional<Micros> within);
   void OnRequest(const Inbound::SessionPtr& session, Message<true> request);
   void OnSent(const std::string& id, int attempt);
   void OnClientGone(const std::string& id);
@@ -133,7 +134,6 @@
   Calls calls_;
   std::unordered_set<std::string> ever_listed_;  // servers
   std::set<std::string> banned_;
-  std::int64_t generation_ = 0;
   asio::steady_timer drain_timer_;
   asio::steady_timer look_timer_;
   int looks_ = 0;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -174,9 +174,9 @@
 
   void OnServers(const ListUpdate& update) {
     if (update.kind == ListUpdate::Kind::kFailed) {
-      AskLater(Doubled(std::max(kAskBase, kSecond * set_.siblings / kAsksPerSecond), asks_failed_++,
-                       set_.ask_within));
-      return;
+      const Micros most = Doubled(std::max(kAskBase, kSecond * set_.siblings / kAsksPerSecond),
+                                  asks_failed_++, set_.ask_within);
+      return AskLater(std::min(most, update.ask_within.value_or(most)));
     }
     if (update.kind == ListUpdate::Kind::kStale) {
       // A fresh start: spread, as all sidecars may have started together. One that takes over starts alone,
@@ -261,7 +261,7 @@
 
   // Guards against a successor that takes an overload for what is usual, as it begins in the middle of it.
   std::string Learned() {
-    std::string text;
+    std::string text = MarkOf(set_) + "\n";
     const auto write = [&](double value) {
       char digits[32];
       std::snprintf(digits, sizeof digits, "%.9g ", value);
@@ -278,6 +278,9 @@
 
   // All or nothing: it is read twice, and taken the second time.
   bool Recall(std::string_view learned) {
+    const std::string mark = MarkOf(set_) + "\n";
+    if (learned.substr(0, mark.size()) != mark) return false;
+    learned.remove_prefix(mark.size());
     for (const bool take : {false, true}) {
       std::istringstream in{std::string(learned)};
       const auto read = [&](double& value) {
@@ -399,9 +402,9 @@
 
   void OnTimer(std::uint64_t token) {
     if (token == kAskToken) {
-      ask_pending_ = false;
-      sink_.Subscribe();
-      return;
+      if (!ask_at_ || now_ < *ask_at_) return;  // asked already, or planned anew
+      ask_at_.reset();
+      return sink_.Subscribe();
     }
     auto timer = timers_.find(token);
     if (timer == timers_.end()) return;
@@ -844,8 +847,9 @@
     const RequestClass& c = ClassOf(held);
     if (!MayRepeat(held)) return false;
     if (ran == nullptr || c.repeat == Repeat::kSafe) return true;
-    if (c.group == DedupGroup::kZone) return ran->zone == server.info.zone;
-    if (c.group == DedupGroup::kCell) return ran->cell == server.info.cell;
+    // Where it ran may be unknown: that is nobody's group.
+    if (c.group == DedupGroup::kZone) return ran->zone >= 0 && ran->zone == server.info.zone;
+    if (c.group == DedupGroup::kCell) return ran->cell >= 0 && ran->cell == server.info.cell;
     return true;
   }
 
@@ -911,11 +915,12 @@
     sink_.SetTimer(wait, last_timer_);
   }
 
+  // A repeat that has to dial leaves as late as the dial may come up, and has to leave within the window.
   bool MayRepeat(const Held& held) const {
     const Attempt* ran = held.MayHaveRun();
     const RequestClass& c = ClassOf(held);
     return ran == nullptr || c.repeat == Repeat::kSafe ||
-           (c.repeat == Repeat::kDeduplicated && now_ < ran->sent + c.dedup_window);
+           (c.repeat == Repeat::kDeduplicated && now_ + set_.dial_timeout < ran->sent + c.dedup_window);
   }
 
   // The final answer. A refusal promises that a further try does no harm; where that is not certain it fails.
@@ -962,9 +967,11 @@
   // ---- Discovery ----
 
   void AskLater(Micros most) {
-    if (!set_.must_subscribe || ask_pending_) return;
-    ask_pending_ = true;
-    sink_.SetTimer(random_.Upto(most), kAskToken);
+    if (!set_.must_subscribe) return;
+    const Micros wait = random_.Upto(most);
+    if (ask_at_ && *ask_at_ <= now_ + wait) return;
+    ask_at_ = now_ + wait;
+    sink_.SetTimer(wait, kAskToken);
   }
 
   const Settings set_;
@@ -993,7 +1000,7 @@
   int hopeless_ = 0;     // ... for its own size, not for pressure
   Micros logged_at_ = 0;
   int asks_failed_ = 0;
-  bool ask_pending_ = false;
+  std::optional<Micros> ask_at_;  // when discovery is asked next, if that is planned
 };
 
 // ---- The outside ----
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -228,6 +228,22 @@
   }
 }
 
+// What is sent may have to dial first: a repeat whose first byte could leave after the window is none.
+TEST_F(BalancerTest, RepeatsAKeyedRequestOnlyIfADialStillFitsTheWindow) {
+  Settings settings = MakeSettings();
+  settings.dial_timeout = 300 * kMs;
+  for (const bool fits : {true, false}) {
+    Start(settings, 20);
+    ASSERT_EQ(Arrive("r", 1)[0].kind, Kind::kSend);
+    now_ += settings.classes[1].dedup_window - settings.dial_timeout - (fits ? 150 * kMs : 0);
+    const auto next = Resolve("r", 0, Result::kReset);
+    ASSERT_EQ(next.size(), 1u);
+    EXPECT_EQ(next[0].kind, fits ? Kind::kTimer : Kind::kFail);  // the first wait is 100 ms at most
+    if (!fits) continue;
+    EXPECT_EQ(Fire(next[0])[0].kind, Kind::kSend);
+  }
+}
+
 TEST_F(BalancerTest, SendsNothingToADrainingOrGoneServer) {
   Start(MakeSettings(), 4);
   Arrive("waits");
@@ -461,14 +477,54 @@
   Start(MakeSettings(), 3);
   const std::string before = balancer_->Learned();
   const std::string torn = before.substr(0, before.size() - 2);
-  for (const std::string& text : {std::string(), std::string("."), torn, "x " + before, "-1 " + before,
-                                  "nan " + before, "1 2 3\n.\n" + before})
+  const std::string mark = before.substr(0, before.find('\n') + 1);
+  const std::string rest = before.substr(mark.size());
+  for (const std::string& text :
+       {std::string(), std::string("."), torn, mark, mark + ".", mark + "x " + rest, mark + "-1 " + rest,
+        mark + "nan " + rest, mark + "1 2 3\n.\n" + rest, "x " + before, rest})
     EXPECT_FALSE(balancer_->Recall(now_, text)) << text;
   EXPECT_EQ(balancer_->Learned(), before);
   EXPECT_TRUE(balancer_->Recall(now_, before));
   EXPECT_EQ(balancer_->Learned(), before);
 }
 
+// What was learnt under other classes, deadlines or tenants is another deployment's.
+TEST_F(BalancerTest, WhatWasLearntUnderOtherSettingsIsNotRecalled) {
+  Start(MakeSettings(), 3);
+  const std::string learnt = balancer_->Learned();
+  std::vector<Settings> others(4, MakeSettings());
+  others[0].classes[1].name = "d";
+  others[1].classes[2].deadline += 1;
+  others[2].tenants.push_back({"x", 1, 0});
+  std::swap(others[3].classes[0].name, others[3].classes[1].name = "cc");
+  for (const Settings& other : others) {
+    Start(other, 3);
+    const std::string own = balancer_->Learned();
+    EXPECT_FALSE(balancer_->Recall(now_, learnt));
+    EXPECT_EQ(balancer_->Learned(), own);
+  }
+  Start(MakeSettings(), 3);
+  EXPECT_TRUE(balancer_->Recall(now_, learnt));
+}
+
+// Two servers of which nobody knows the group are not of one.
+TEST_F(BalancerTest, AnUnknownGroupIsNobodys) {
+  for (const auto group : {DedupGroup::kZone, DedupGroup::kCell}) {
+    Settings settings = MakeSettings();
+    settings.classes[1].group = group;
+    Start(settings, 0);
+    auto servers = MakeServers(6);
+    for (ServerInfo& info : servers) info.zone = -1, info.cell = -1;
+    List(ListUpdate::Kind::kFull, servers);
+    ASSERT_EQ(Arrive("r", 1)[0].kind, Kind::kSend);
+    const auto wait = Resolve("r", 0, Result::kReset);
+    ASSERT_EQ(wait[0].kind, Kind::kTimer);
+    Action next = wait[0];
+    for (int i = 0; i < 10 && next.kind == Kind::kTimer; ++i) next = Fire(next).at(0);
+    EXPECT_EQ(next.kind, Kind::kFail);
+  }
+}
+
 // A sidecar that restarts knows nothing but its last list; many servers may be young in it at once.
 TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtYoungServers) {
   auto servers = MakeServers(4);
@@ -1243,6 +1299,30 @@
   }
 }
 
+// News that may bind before it is heard does not wait for the usual spread, nor for an ask that is planned.
+TEST_F(BalancerTest, AsksDiscoveryInTheTimeThatPressesAndOnce) {
+  Settings settings = MakeSettings();
+  settings.must_subscribe = true;
+  settings.siblings = 300;
+  std::string error;
+  balancer_ = Balancer::Create(settings, 7, now_, sink_, error);
+  List(ListUpdate::Kind::kStale, MakeServers(4));
+  const auto planned = sink_.Take();
+  ASSERT_EQ(planned.size(), 1u);
+  ASSERT_GT(planned[0].time, 1);
+  ListUpdate failed{ListUpdate::Kind::kFailed, 0, {}};
+  failed.ask_within = 1;
+  balancer_->OnServers(now_, failed);
+  const auto pressed = sink_.Take();
+  ASSERT_EQ(pressed.size(), 1u);
+  EXPECT_EQ(pressed[0].kind, Kind::kTimer);
+  EXPECT_LE(pressed[0].time, 1);
+  const auto ask = Fire(pressed[0]);
+  ASSERT_EQ(ask.size(), 1u);
+  EXPECT_EQ(ask[0].kind, Kind::kSubscribe);
+  EXPECT_TRUE(Fire(planned[0]).empty());  // it has been asked already
+}
+
 TEST_F(BalancerTest, IgnoresWhatItDoesNotKnow) {
   Start(MakeSettings(), 4);
   EXPECT_TRUE(Resolve("nobody", 0, Result::kRefused).empty());
