Test each way of leaving an upload with a sidecar and a loop of its own

The sanitizers found that the second sidecar of one test ran on a loop that still held what the first had posted: the test's own fault, as the program ends its loop before its sidecar. Same cases, same checks.

--- a/tests/net/rare_test.cpp
+++ b/tests/net/rare_test.cpp
@@ -77,26 +77,26 @@
 
 // Some of an upload has come, more than is read of it, and nobody is there to be sent it. (An end that is
 // stuck behind more than the kernel takes in cannot be seen before that has been read.)
-TEST_F(LeavingTest, WithAnUploadHalfDone) {
-  for (const auto how : {How::kFin, How::kReset}) {
-    ScriptedServer server(io);
-    server.StopListening();
-    watching = nullptr;
-    Start({Entry("s-1", server.address)});
-    const auto client = Client(
-        "POST /api HTTP/1.1\r\nReq-Id: u\r\nReq-Kind: pay\r\nIdempotency-Key: k\r\n"
-        "Content-Length: 400000\r\n\r\n" +
-        std::string(120000, 'x'));
-    ASSERT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 1; }));
-    how == How::kFin ? client->Close() : client->Reset();
-    ASSERT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0; }));
-    EXPECT_EQ(Of(1).gone, 1U);
-    EXPECT_EQ(Of(1).refused + Of(1).failed, 0U);
-    EXPECT_EQ(sidecar->counters().open(), 0U);
-    discovery.peers.clear();
-  }
+class LeavingUpload : public LeavingTest, public ::testing::WithParamInterface<bool> {};
+
+TEST_P(LeavingUpload, HalfDone) {
+  ScriptedServer server(io);
+  server.StopListening();
+  Start({Entry("s-1", server.address)});
+  const auto client = Client(
+      "POST /api HTTP/1.1\r\nReq-Id: u\r\nReq-Kind: pay\r\nIdempotency-Key: k\r\nContent-Length: "
+      "400000\r\n\r\n" +
+      std::string(120000, 'x'));
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 1; }));
+  GetParam() ? client->Reset() : client->Close();
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0; }));
+  EXPECT_EQ(Of(1).gone, 1U);
+  EXPECT_EQ(Of(1).refused + Of(1).failed, 0U);
+  EXPECT_EQ(sidecar->counters().open(), 0U);
 }
 
+INSTANTIATE_TEST_SUITE_P(ByFinOrReset, LeavingUpload, ::testing::Bool());
+
 // The end of the client's connection and the end of the wait come in one turn of the loop.
 TEST_F(LeavingTest, InTheTurnOfTheRetry) {
   std::shared_ptr<Peer> client;
