Guard: signals during a drain, with requests out, half read and not yet sent

Nothing failed: the test passed on the program as it is. SIGTERM with an attempt out at a server that hangs, half of a request read and a connection that has said nothing; SIGHUP and SIGTERM again; a request on a kept connection right behind them. Each gets one whole answer, the server sees four requests, and the program ends with status 0.

--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -145,5 +145,53 @@
   EXPECT_TRUE(RunUntil(io, [&] { return discovery_.peers.back()->ended; }));
 }
 
+// SIGTERM with an attempt out, half of another request read, and a connection accepted that has said nothing;
+// then SIGHUP and SIGTERM again. Each gets one whole answer, what comes on a kept connection too, and the end
+// is in order.
+TEST_F(ProgramTest, SignalsDuringADrainChangeNothingAndWhatWasTakenIsAnswered) {
+  bool answers = false;
+  std::vector<Peer*> held;
+  ScriptedServer server(io, [&](Peer& peer) {
+    if (answers) return Serves("late")(peer);
+    held.push_back(&peer);
+  });
+  Configure(Text(discovery_.address, {Entry("s1", server.address)}));
+  Start();
+  const auto get = [](const std::string& id) {
+    return "GET /api HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: look\r\n\r\n";
+  };
+  const auto out = Connect(io, listen);
+  out->Write(get("out"));
+  const auto kept = Connect(io, listen);
+  kept->Write("GET /ready HTTP/1.1\r\n\r\n");
+  const auto half = Connect(io, listen);
+  half->Write(get("half").substr(0, 30));
+  const auto silent = Connect(io, listen);
+  ASSERT_TRUE(RunUntil(io, [&] { return held.size() == 1 && kept->requests() == 1; }));
+  ::kill(pid, SIGTERM);
+  ::kill(pid, SIGHUP);
+  ::kill(pid, SIGTERM);
+  half->Write(get("half").substr(30));
+  kept->Write(get("kept"));
+  silent->Write(get("silent"));
+  ASSERT_TRUE(RunUntil(io, [&] { return held.size() == 4; }));
+  ::kill(pid, SIGTERM);
+  answers = true;
+  for (Peer* peer : held) peer->Write(Reply("200 OK", "late"));
+  for (const auto& client : {out, half, silent}) {
+    ASSERT_TRUE(RunUntil(io, [&] { return client->ended; }));
+    EXPECT_EQ(client->requests(), 1);
+    EXPECT_EQ(client->received.substr(9, 3), "200");
+    EXPECT_EQ(client->received.substr(client->received.size() - 4), "late");
+  }
+  ASSERT_TRUE(RunUntil(io, [&] { return kept->ended; }));
+  EXPECT_EQ(kept->requests(), 2);
+  EXPECT_EQ(server.requests(), 4);
+  int status = -1;
+  ASSERT_TRUE(RunUntil(io, [&] { return ::waitpid(pid, &status, WNOHANG) == pid; }));
+  pid = 0;
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}
+
 }  // namespace
 }  // namespace merlinrun::net
