--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -309,6 +309,8 @@
   const std::string key(KeyOf(View(head.target())));
   in.key = key;
   balancer_->OnRequest(now, in);
+  const auto it = calls_.find(id);
+  if (it != calls_.end()) it->second.waited = true;
   EraseIfOver(id);
 }
 
@@ -487,6 +489,9 @@
 }
 
 int Sidecar::ClassIndex(std::string_view name) const {
+  // Two names may be one on the wire: each is its own class all the same.
+  const auto own = std::find(config_.class_names.begin(), config_.class_names.end(), name);
+  if (own != config_.class_names.end()) return static_cast<int>(own - config_.class_names.begin());
   const auto& classes = config_.wire.settings.classes;
   const std::string wire_name = WireName(name);
   const auto it = std::find_if(classes.begin(), classes.end(),
@@ -515,7 +520,9 @@
   attempt.sent = now;
   attempt.timeout = timeout;
   attempt.expires = timeout > 0 && !call.partial ? std::min(call.deadline, now + timeout) : call.deadline;
-  if (call.session == nullptr || call.spent || now >= attempt.expires) {
+  // The client may have left while its request waited, and nobody have come to notice it.
+  const bool deserted = call.session != nullptr && call.waited && Inbound::ClientLeft(call.session);
+  if (call.session == nullptr || deserted || call.spent || now >= attempt.expires) {
     call.attempts.push_back(attempt);
     asio::post(io_, [this, id, number] { Conclude(id, number, Result::kNeverSent); });
     return;
