Ask discovery again before a change binds after any failed call, whatever the fleet's size

Cause: after a call that was refused, given up or cut the module waits random(0, siblings / 8 s), up to ask_within (10 s): from 48 sidecars on longer than the 6 s after which a change binds. Only a silent watch and a reload told the module of a bound. Change: Discovery tells with each failed call in which time it has to be asked again: half of what is left of the 6 s, counted from the start of the call or the last word of its watch; the other half is for the answer. Two expectations that nothing presses after a watch whose end was seen, and after a switch that was too late, were wrong under that term; in their place the bound is checked from both sides. Measured, module alone, each call refused at once: a fleet of 14,000 asks in the first second after a common failure by e^(1/3) - 1 of its size (5,538 calls) and by 2/3 (9,333) in any later one; 300 make 119 and 200. All waits at 3, 300 and 14,000 siblings are within 3 s. Before, by the same formula over 10 s, 14,000 asked 1,472 and 2,800 times and broke the term. Ruled out: hurrying more the nearer the bound comes, as it makes calls the more frequent the more are refused. Without the rule in discovery.cpp three expectations of DiscoveryTest fail, without it in policy.cpp AFleetOfAnySizeAsksAgainBeforeAChangeBinds and one more.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -28,6 +28,9 @@
 constexpr Micros kLeastAnswer = 1'000'000;
 // The wait before a call is this part at most of the time that is left: the answer has to come in the rest.
 constexpr Micros kPressedWait = 3;
+// The same where nothing but the failed call itself presses: the wait is all that spreads a large fleet, so
+// it takes half.
+constexpr Micros kFailedWait = 2;
 
 std::chrono::microseconds Time(Micros time) { return std::chrono::microseconds(time); }
 
@@ -222,7 +225,10 @@
   }
 
   void TakePiece() {
-    if (owner_ != nullptr && !whole_) owner_->binds_.reset();  // it is heard: what it tells, it tells in time
+    if (owner_ != nullptr && !whole_) {  // it is heard: what it tells, it tells in time
+      owner_->binds_.reset();
+      owner_->current_until_ = Clock::now();
+    }
     for (const char c : std::string_view(piece_.data(), piece_.size() - parser_.get().body().size)) {
       if (owner_ == nullptr) return;
       if (!objects_.Take(c)) return End("no JSON", true);
@@ -298,6 +304,17 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(*binds_ - Clock::now()).count();
 }
 
+// In which discovery has to be asked again after a call that failed. Whatever the settings allow then, what
+// discovery has meanwhile binds: so long after the call began, or after the last word of a watch. It could
+// harm a discovery that is overbooked, where waiting longer would be kinder; half of the time, anew after
+// each call, is as long as the rule leaves.
+Micros Discovery::AskWithin() const {
+  const auto unheard = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - current_until_);
+  const Micros within = std::max<Micros>(timing_.told_unheard - unheard.count(), 0) / kFailedWait;
+  const auto left = TimeLeft();
+  return left ? std::min(*left / kPressedWait, within) : within;
+}
+
 Micros Discovery::AnswerTime() const {
   const auto left = TimeLeft();
   if (!left) return timing_.answer;
@@ -306,6 +323,7 @@
 
 void Discovery::Open() {
   ++calls_;
+  current_until_ = Clock::now();
   stream_ = std::make_shared<Stream>(*this);
   stream_->Open();
 }
@@ -342,13 +360,12 @@
     std::fprintf(stderr, "discovery: the list is kept as it was: %.200s\n", reason.c_str());
   std::fprintf(stderr, "discovery: call %llu ended: %.100s\n", static_cast<unsigned long long>(calls_),
                reason.c_str());
-  auto within = TimeLeft();
-  if (within) *within /= kPressedWait;
+  const Micros within = AskWithin();
   events_.on_failed(within);
   if (!timing_.reopens) return;
   // Jitter guards against all sidecars coming back in the same instant when discovery does.
-  Micros most = std::min(timing_.backoff_base << std::min(failures_++, 10), timing_.backoff_most);
-  if (within) most = std::min(most, *within);
+  const Micros most =
+      std::min({timing_.backoff_base << std::min(failures_++, 10), timing_.backoff_most, within});
   backoff_.expires_after(std::chrono::microseconds(std::uniform_int_distribution<Micros>(0, most)(random_)));
   backoff_.async_wait([this](ErrorCode error) {
     if (!error && stream_ == nullptr) Open();
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -45,17 +45,17 @@
   struct Timing {
     Micros silence = 2'700'000;       // an empty line comes every 2 s
     Micros answer = 4'500'000;        // from a call to its answer, if nothing presses, and for an object
-    Micros told_unheard = 6'000'000;  // what a silent watch misses binds so long after its last word ...
-    Micros told_anew = 4'000'000;     // ... and what another discovery tells so long after the switch to it
-    Micros backoff_base = 200'000;    // the wait before the n-th reopening is random(0, base * 2^n) ...
+    Micros told_unheard = 6'000'000;  // what a watch or a failed call misses binds so long after its last ...
+    Micros told_anew = 4'000'000;   // ... word or its start, and what another discovery tells after a switch
+    Micros backoff_base = 200'000;  // the wait before the n-th reopening is random(0, base * 2^n) ...
     Micros backoff_most = 1'000'000;  // ... and no longer than this
     bool reopens = true;              // false: somebody else decides when to ask again
   };
   struct Events {
     std::function<void(const EndpointList&)> on_list;
-    // The watch ended or never opened. Where news may bind before it is heard, discovery has to be asked
-    // again within a time.
-    std::function<void(std::optional<Micros> within)> on_failed;
+    // The watch ended or never opened. Discovery has to be asked again within this time, in microseconds, as
+    // news binds then whether it is heard or not.
+    std::function<void(Micros within)> on_failed;
   };
 
   Discovery(asio::io_context& io, Tcp::endpoint address, const drill::WireSettings& names, Timing timing,
@@ -84,6 +84,7 @@
   bool Follows(const EndpointList& list) const;
   void Press(Clock::time_point binds);
   std::optional<Micros> TimeLeft() const;
+  Micros AskWithin() const;
   Micros AnswerTime() const;
 
   asio::io_context& io_;
@@ -97,7 +98,8 @@
   std::int64_t generation_ = kUnknown;  // of the discovery that is followed
   // What is told meanwhile binds from then on, heard or not; none while a watch is heard.
   std::optional<Clock::time_point> binds_;
-  std::uint64_t calls_ = 0;  // made since the start
+  Clock::time_point current_until_;  // the start of the last call, or the last word of its watch
+  std::uint64_t calls_ = 0;          // made since the start
   int failures_ = 0;
   bool complained_ = false;
 };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -140,7 +140,7 @@
                  {[this](const EndpointList& list) {
                     OnList(list.whole ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
                   },
-                  [this](std::optional<Micros> within) { OnDiscoveryFailed(within); }}),
+                  [this](Micros within) { OnDiscoveryFailed(within); }}),
       drain_timer_(io),
       look_timer_(io),
       log_timer_(io) {
@@ -247,7 +247,7 @@
   balancer_->OnServers(Now(), {kind, list.generation, servers});
 }
 
-void Sidecar::OnDiscoveryFailed(std::optional<Micros> within) {
+void Sidecar::OnDiscoveryFailed(Micros within) {
   if (!config_.wire.settings.must_subscribe) return;
   ListUpdate update{ListUpdate::Kind::kFailed, 0, {}};
   update.ask_within = within;
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -90,7 +90,7 @@
 
   Micros Now() const;
   void OnList(ListUpdate::Kind kind, const EndpointList& list);
-  void OnDiscoveryFailed(std::optional<Micros> within);
+  void OnDiscoveryFailed(Micros within);
   void OnRequest(const Inbound::SessionPtr& session, Message<true> request);
   void OnSent(const std::string& id, int attempt);
   void OnClientGone(const std::string& id);
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1,6 +1,7 @@
 // The module by failure met.
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <map>
 #include <set>
 #include <utility>
@@ -1278,6 +1279,47 @@
   EXPECT_NEAR(static_cast<double>(most_wait(300)), 10 * kSec, 1 * kSec);  // no more than ask_within
 }
 
+// The wait after a failed call grows with the fleet, and ends where a change binds whatever the size. What a
+// fleet of 14,000 asks then: some 5,500 calls in the first second and 9,300 in any later one, if each is
+// refused at once; at 300, 120 and 200.
+TEST_F(BalancerTest, AFleetOfAnySizeAsksAgainBeforeAChangeBinds) {
+  constexpr Micros kWithin = 3 * kSec;
+  for (const std::uint32_t siblings : {3U, 300U, 14'000U}) {
+    Settings settings = MakeSettings();
+    settings.must_subscribe = true;
+    settings.siblings = siblings;
+    std::map<Micros, int> asks_in_second;  // of the whole fleet, from the common failure on
+    for (std::uint32_t rank = 0; rank < siblings; ++rank) {
+      settings.rank = rank;
+      std::string error;
+      now_ = 0;
+      balancer_ = Balancer::Create(settings, rank, now_, sink_, error);
+      List(ListUpdate::Kind::kStale, MakeServers(1));
+      Fire(sink_.Take().at(0));
+      const Micros failed_at = now_;
+      while (now_ < failed_at + 12 * kSec) {
+        ListUpdate failed{ListUpdate::Kind::kFailed, 0, {}};
+        failed.ask_within = kWithin;
+        balancer_->OnServers(now_, failed);
+        for (const auto& action : sink_.Take()) {
+          ASSERT_EQ(action.kind, Kind::kTimer);
+          ASSERT_LE(action.time, kWithin);
+          Fire(action);
+        }
+        ++asks_in_second[(now_ - failed_at) / kSec];
+      }
+    }
+    const auto share = [&](Micros second) {
+      return static_cast<double>(asks_in_second[second]) / static_cast<double>(siblings);
+    };
+    if (siblings >= 300) {  // spread over all of the time: nobody comes back in one instant
+      const double chance = 3 / std::sqrt(siblings);
+      EXPECT_NEAR(share(0), std::exp(1.0 / 3) - 1, chance);  // renewals within a third of the longest wait
+      EXPECT_NEAR(share(10), 2.0 / 3, chance);
+    }
+  }
+}
+
 TEST_F(BalancerTest, AsksDiscoveryAgainAfterAFailureWithinTheTimeStated) {
   Settings settings = MakeSettings();
   settings.must_subscribe = true;
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -28,7 +28,7 @@
     discovery = std::make_unique<Discovery>(
         io, server->address, names, timing, 1,
         Discovery::Events{[this](const EndpointList& list) { lists.push_back(list); },
-                          [this](std::optional<Micros> told) { ++failures, within = told; }});
+                          [this](Micros told) { ++failures, within = told; }});
     discovery->Know(41);
     discovery->Watch();
   }
@@ -43,7 +43,7 @@
   std::size_t watches = 0;
   std::vector<EndpointList> lists;
   int failures = 0;
-  std::optional<Micros> within;  // as told with the last of them
+  Micros within = -1;  // as told with the last of them
 };
 
 TEST_F(DiscoveryTest, DeliversEachLineHoweverItIsCut) {
@@ -82,14 +82,15 @@
   timing.told_unheard = 600'000;
   Start({Chunk(Line(42, "s-a")), Chunk(Line(43, "s-b")), Chunk("")}, timing);
   ASSERT_TRUE(RunUntil(io, [&] { return failures == 1; }));
-  ASSERT_TRUE(within.has_value());
-  EXPECT_GT(*within, 0);
-  EXPECT_LE(*within, 500'000 / 3);
+  EXPECT_GT(within, 0);
+  EXPECT_LE(within, 500'000 / 3);
   discovery->Watch();
   ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 2; }));  // it is heard: nothing presses
   server->peers.back()->Reset();
   ASSERT_TRUE(RunUntil(io, [&] { return failures == 2; }));
-  EXPECT_FALSE(within.has_value());  // its end was seen: it has missed nothing
+  // Its end was seen: it has missed nothing, and what comes later binds later.
+  EXPECT_GT(within, 500'000 / 3);
+  EXPECT_LE(within, 600'000 / 2);
 }
 
 TEST_F(DiscoveryTest, ASwitchPressesUntilItsListIsThereOrBindsUnheard) {
@@ -102,12 +103,37 @@
   ScriptedServer silent(io);
   discovery->Switch(silent.address);
   ASSERT_TRUE(RunUntil(io, [&] { return failures == 1; }));
-  ASSERT_TRUE(within.has_value());
-  EXPECT_LE(*within, 150'000 / 3);
+  EXPECT_GT(within, 0);
+  EXPECT_LE(within, 150'000 / 3);
   RunFor(io, 200ms);
   discovery->Watch();
   ASSERT_TRUE(RunUntil(io, [&] { return failures == 2; }));
-  EXPECT_FALSE(within.has_value());  // too late: as usual
+  EXPECT_GT(within, 200'000);  // too late for that: as after any call that failed
+  EXPECT_LE(within, (6'000'000 - 50'000) / 2);
+}
+
+// Whatever the settings allow then, a change binds 6 s after discovery had it and could be reached: half of
+// that is for the wait, the rest for the answer.
+TEST_F(DiscoveryTest, AfterACallThatFailedItHasToBeAskedAgainBeforeAChangeBinds) {
+  Discovery::Timing timing;
+  timing.reopens = false;
+  timing.answer = 400'000;
+  timing.told_unheard = 2'000'000;
+  ScriptedServer refusing(io, [](Peer& peer) { peer.Write(Reply("503 Service Unavailable", "")); });
+  ScriptedServer silent(io);
+  ScriptedServer gone(io);
+  gone.StopListening();
+  for (const Tcp::endpoint& address : {refusing.address, gone.address, silent.address}) {
+    Discovery fresh(io, address, names, timing, 1,
+                    {[](const EndpointList&) {}, [this](Micros told) { ++failures, within = told; }});
+    failures = 0;
+    within = -1;
+    fresh.Watch();
+    ASSERT_TRUE(RunUntil(io, [&] { return failures == 1; }));
+    // A call that was given up has used up a part of the time.
+    EXPECT_LE(within, (address == silent.address ? 1'600'000 : 2'000'000) / 2);
+    EXPECT_GT(within, 0);
+  }
 }
 
 TEST_F(DiscoveryTest, KeepsTheOldListOnBadInputAndAsksAgain) {
