Send by chance among young servers only until it is known what they serve

Cause: where a window held young servers alone, a request went to one of them by chance, twice round the window, whatever credit was left. All sidecars together so sent nearly all that arrived, above N + 2 x root of N + 2 for a server that starts at a small share of its capacity. Credit by time carries such a window since it is learnt what servers usually serve.

Change: chance decides only while nothing is learnt. The first figure is learnt under pressure too, where little is served and the figure is low; else a sidecar that begins in an overload never learns one.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -800,7 +800,8 @@
       if (best == nullptr || Busy(held, server) < Busy(held, *best)) best = &server;
     }
     if (best != nullptr) return best;
-    bool none_warm = true;  // then nobody serves enough to earn credit, and chance by share has to do
+    bool none_warm =
+        served_by_size_.seen < 1;  // only young ones, and nothing known to earn credit by: chance
     for (std::size_t i = 0; i < width; ++i) none_warm = none_warm && Warmth(pool.InWindow(i)) < 1;
     const std::size_t start = random_.Below(width);
     // Twice round: what is left alone for a while may serve, and what fails this class hardly ever does.
@@ -873,7 +874,8 @@
     const double rate = static_cast<double>(served_ - served_before_) / seconds;
     served_at_ = now_;
     served_before_ = served_;
-    if (pool.admit >= 1 && all > 0) served_by_size_.Add(rate / all, kServedSeconds);
+    if ((pool.admit >= 1 || served_by_size_.seen < 1) && all > 0)
+      served_by_size_.Add(rate / all, kServedSeconds);
   }
 
   // A young server is sent its share by size of what this sidecar is *served*, as far as it is warm, times
