Earn no credit for young servers by what draining servers still answer

Cause: what servers that drain still serve from their queues counted as served by the window that is left. With one young server left of twenty, each such answer earned it the credit that its share of all twenty had earned before.

Change: an answer counts only if its server is listed and healthy.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -359,7 +359,8 @@
     attempt.may_have_run = !ProvesNeverRan(outcome.result, set_.refused_may_have_run);
     --attempt.server->out;
     --pools_[attempt.server->pool].out;
-    if (outcome.result == Result::kSuccess) LearnServed(pools_[attempt.server->pool]);
+    const bool stays = attempt.server->listed && attempt.server->info.state == ServerInfo::State::kHealthy;
+    if (outcome.result == Result::kSuccess && stays) LearnServed(pools_[attempt.server->pool]);
     if (Answered(outcome.result)) attempt.server->heard_at = now_;
     if (outcome.load.cpu) attempt.server->busy = *outcome.load.cpu >= kCoresBusy;
     Judge(held, *attempt.server, attempt.sent, outcome);
@@ -800,8 +801,7 @@
       if (best == nullptr || Busy(held, server) < Busy(held, *best)) best = &server;
     }
     if (best != nullptr) return best;
-    bool none_warm =
-        served_by_size_.seen < 1;  // only young ones, and nothing known to earn credit by: chance
+    bool none_warm = served_by_size_.seen < 1;  // and nothing known to earn credit by: chance has to do
     for (std::size_t i = 0; i < width; ++i) none_warm = none_warm && Warmth(pool.InWindow(i)) < 1;
     const std::size_t start = random_.Below(width);
     // Twice round: what is left alone for a while may serve, and what fails this class hardly ever does.
