Allow for the window's share of the servers in what a young server may be sent

Cause: what a server is usually served was learnt as the sidecar's traffic over the sizes in its window. When the list shrinks, each server that is left stands in the windows of more sidecars than when that was learnt, and the sum of what they may send grows as the list shrank, while the server is no larger.

Change: the figure is kept times the window's share of the servers, and divided by the share of the moment when it is used; with an unchanged list all stays as it was.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -864,6 +864,11 @@
     return set_.cold_share + (1 - set_.cold_share) * grown;
   }
 
+  // The share of the servers that the window holds, and so of the sidecars whose windows hold a server.
+  double Covered(const Pool& pool) const {
+    return static_cast<double>(Width(pool, set_)) / static_cast<double>(pool.ring.size());
+  }
+
   // What the servers of the window usually serve of this sidecar's requests, by size, while nothing presses.
   void LearnServed(const Pool& pool) {
     ++served_;
@@ -875,7 +880,7 @@
     served_at_ = now_;
     served_before_ = served_;
     if ((pool.admit >= 1 || served_by_size_.seen < 1) && all > 0)
-      served_by_size_.Add(rate / all, kServedSeconds);
+      served_by_size_.Add(rate / all * Covered(pool), kServedSeconds);
   }
 
   // A young server is sent its share by size of what this sidecar is *served*, as far as it is warm, times
@@ -894,7 +899,7 @@
     const double share = set_.overload_factor / 2 * warmth * Size(server);
     const double seconds = static_cast<double>(now_ - server.credit.then) / kSecond;
     server.credit.Earn(share * static_cast<double>(served_ - server.credit.served_then) / all,
-                       share * served_by_size_.value * seconds);
+                       share * served_by_size_.value / Covered(pool) * seconds);
     server.credit.served_then = served_;
     server.credit.then = now_;
     return server.credit.left >= 1;
