--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -359,7 +359,8 @@
     attempt.may_have_run = !ProvesNeverRan(outcome.result, set_.refused_may_have_run);
     --attempt.server->out;
     --pools_[attempt.server->pool].out;
-    if (outcome.result == Result::kSuccess) LearnServed(pools_[attempt.server->pool]);
+    const bool stays = attempt.server->listed && attempt.server->info.state == ServerInfo::State::kHealthy;
+    if (outcome.result == Result::kSuccess && stays) LearnServed(pools_[attempt.server->pool]);
     if (Answered(outcome.result)) attempt.server->heard_at = now_;
     if (outcome.load.cpu) attempt.server->busy = *outcome.load.cpu >= kCoresBusy;
     Judge(held, *attempt.server, attempt.sent, outcome);
@@ -800,7 +801,7 @@
       if (best == nullptr || Busy(held, server) < Busy(held, *best)) best = &server;
     }
     if (best != nullptr) return best;
-    bool none_warm = true;  // then nobody serves enough to earn credit, and chance by share has to do
+    bool none_warm = served_by_size_.seen < 1;  // and nothing known to earn credit by: chance has to do
     for (std::size_t i = 0; i < width; ++i) none_warm = none_warm && Warmth(pool.InWindow(i)) < 1;
     const std::size_t start = random_.Below(width);
     // Twice round: what is left alone for a while may serve, and what fails this class hardly ever does.
@@ -863,6 +864,11 @@
     return set_.cold_share + (1 - set_.cold_share) * grown;
   }
 
+  // The share of the servers that the window holds, and so of the sidecars whose windows hold a server.
+  double Covered(const Pool& pool) const {
+    return static_cast<double>(Width(pool, set_)) / static_cast<double>(pool.ring.size());
+  }
+
   // What the servers of the window usually serve of this sidecar's requests, by size, while nothing presses.
   void LearnServed(const Pool& pool) {
     ++served_;
@@ -873,7 +879,8 @@
     const double rate = static_cast<double>(served_ - served_before_) / seconds;
     served_at_ = now_;
     served_before_ = served_;
-    if (pool.admit >= 1 && all > 0) served_by_size_.Add(rate / all, kServedSeconds);
+    if ((pool.admit >= 1 || served_by_size_.seen < 1) && all > 0)
+      served_by_size_.Add(rate / all * Covered(pool), kServedSeconds);
   }
 
   // A young server is sent its share by size of what this sidecar is *served*, as far as it is warm, times
@@ -892,7 +899,7 @@
     const double share = set_.overload_factor / 2 * warmth * Size(server);
     const double seconds = static_cast<double>(now_ - server.credit.then) / kSecond;
     server.credit.Earn(share * static_cast<double>(served_ - server.credit.served_then) / all,
-                       share * served_by_size_.value * seconds);
+                       share * served_by_size_.value / Covered(pool) * seconds);
     server.credit.served_then = served_;
     server.credit.then = now_;
     return server.credit.left >= 1;
