Play scenarios of scale steps and keep their samples, whatever becomes of the run

The scale run had an interface for its steps and nothing that played them. rookhub_scale run reads a scenario from TOML, tells whatever makes no sense in one line with file and key before anything is started (status 2), checks each step's needs against descriptors, ports, processes and memory, and writes DIR/result.json in one move before the first step, after each and at the end. A step that throws is told and the rest still runs (status 1); a signal ends the run with what there is (status 3); both leave a result marked partial with its reasons. A result is never overwritten.

--- /dev/null
+++ b/scale/machine.cpp
@@ -0,0 +1,77 @@
+#include "scale/machine.hpp"
+
+#include <stdlib.h>
+#include <sys/resource.h>
+#include <sys/utsname.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <fstream>
+#include <stdexcept>
+#include <system_error>
+#include <thread>
+
+namespace merlinrun::scale {
+namespace {
+
+constexpr std::size_t kMostPorts = 28000;
+
+// In MB of 1,048,576 bytes; 0 if /proc does not tell.
+double MemoryMb(const std::string& name) {
+  std::ifstream in("/proc/meminfo");
+  std::string key;
+  std::uint64_t kib = 0;
+  std::string unit;
+  while (in >> key >> kib) {
+    if (key == name + ":") return static_cast<double>(kib) / 1024;
+    std::getline(in, unit);
+  }
+  return 0;
+}
+
+std::size_t EphemeralPorts() {
+  std::ifstream in("/proc/sys/net/ipv4/ip_local_port_range");
+  std::size_t first = 0;
+  std::size_t last = 0;
+  if (!(in >> first >> last) || last < first) return kMostPorts;
+  return std::min(kMostPorts, last - first + 1);
+}
+
+}  // namespace
+
+MachineLimits ReadMachineLimits() {
+  MachineLimits limits;
+  rlimit files{};
+  if (getrlimit(RLIMIT_NOFILE, &files) != 0)
+    throw std::system_error(errno, std::generic_category(), "getrlimit");
+  limits.descriptors = files.rlim_cur;
+  limits.ports = EphemeralPorts();
+  limits.memory_mb = std::min(MemoryMb("MemTotal") / 2, MemoryMb("MemAvailable"));
+  return limits;
+}
+
+Machine ReadMachine() {
+  Machine machine;
+  machine.cores = std::thread::hardware_concurrency();
+  std::ifstream in("/proc/cpuinfo");
+  for (std::string line; machine.cpu.empty() && std::getline(in, line);) {
+    const std::size_t colon = line.find(": ");
+    if (line.starts_with("model name") && colon != std::string::npos) machine.cpu = line.substr(colon + 2);
+  }
+  utsname names{};
+  if (uname(&names) == 0) machine.kernel = names.release;
+  return machine;
+}
+
+ScratchFolder::ScratchFolder() {
+  std::string name = (std::filesystem::temp_directory_path() / "rookhub_scale.XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr) throw std::system_error(errno, std::generic_category(), "mkdtemp");
+  path_ = name;
+}
+
+ScratchFolder::~ScratchFolder() {
+  std::error_code ignored;  // a file that a child still writes: nothing is left to do about it
+  std::filesystem::remove_all(path_, ignored);
+}
+
+}  // namespace merlinrun::scale
--- /dev/null
+++ b/scale/runner.cpp
@@ -0,0 +1,130 @@
+#include "scale/runner.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <cmath>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "scale/results.hpp"
+#include "scale/table_reader.hpp"
+
+namespace merlinrun::scale {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+class ResultRecorder : public Recorder {
+ public:
+  explicit ResultRecorder(Result& result) : result_(result) {}
+
+  // Throws std::runtime_error for a figure that is not finite: JSON has no word for it, and a fit no use.
+  void Add(Sample sample) override {
+    for (const auto* numbers : {&sample.conditions, &sample.figures}) {
+      for (const auto& [name, value] : *numbers) {
+        if (!std::isfinite(value)) throw std::runtime_error(sample.measure + ": " + name + " is not finite");
+      }
+    }
+    result_.samples.push_back(std::move(sample));
+  }
+
+ private:
+  Result& result_;
+};
+
+// Results name no place of the machine that they were taken on.
+std::string WithoutPath(std::string text, const std::filesystem::path& path, const std::string& name) {
+  const std::string place = path.string();
+  if (place.empty()) return text;
+  for (std::size_t at = text.find(place); at != std::string::npos; at = text.find(place, at + name.size())) {
+    text.replace(at, place.size(), name);
+  }
+  return text;
+}
+
+class Run {
+ public:
+  Run(const Scenario& scenario, const RunOptions& options) : scenario_(scenario), options_(options) {
+    result_.scenario = scenario.name;
+    result_.scenario_text = scenario.text;
+    result_.seed = scenario.seed;
+    result_.repeats = scenario.repeats;
+    result_.started = UtcNow();
+    result_.machine = ReadMachine();
+    result_.build = BuildType();
+  }
+
+  int Play() {
+    Write({"the run has not ended"});
+    for (const PlannedStep& planned : scenario_.steps) {
+      if (options_.should_stop()) {
+        interrupted_ = true;
+        Miss(planned, "not run: interrupted");
+        continue;
+      }
+      PlayStep(planned);
+      Write({"the run has not ended"});
+    }
+    Write({});
+    return interrupted_ ? kInterrupted : reasons_.empty() ? kDone : kFailed;
+  }
+
+ private:
+  void PlayStep(const PlannedStep& planned) {
+    spdlog::info("{} ({}): starts", planned.key, planned.kind);
+    const std::size_t before = result_.samples.size();
+    ResultRecorder recorder(result_);
+    Context context{recorder, scenario_.seed,      scenario_.repeats, options_.sidecar, options_.relay,
+                    {},       options_.should_stop};
+    try {
+      context.scratch = scratch_.path() / planned.key;
+      std::filesystem::create_directory(context.scratch);
+      planned.step->Run(context);
+    } catch (const std::exception& error) {
+      Miss(planned, error.what());
+    } catch (...) {
+      Miss(planned, "ended by an unknown exception");
+    }
+    if (options_.should_stop()) {
+      interrupted_ = true;
+      Miss(planned, "interrupted");
+    }
+    spdlog::info("{} ({}): ended with {} samples", planned.key, planned.kind,
+                 result_.samples.size() - before);
+  }
+
+  void Miss(const PlannedStep& planned, const std::string& why) {
+    std::string reason = planned.key + " (" + planned.kind + "): " + OneLine(why);
+    spdlog::error("{}", reason);
+    reason = WithoutPath(std::move(reason), scratch_.path(), "scratch");
+    reason = WithoutPath(std::move(reason), options_.sidecar, "the sidecar");
+    reasons_.push_back(WithoutPath(std::move(reason), options_.relay, "the relay"));
+  }
+
+  void Write(const std::vector<std::string>& more) {
+    result_.seconds = std::chrono::duration<double>(Clock::now() - started_).count();
+    result_.reasons = reasons_;
+    result_.reasons.insert(result_.reasons.end(), more.begin(), more.end());
+    result_.partial = !result_.reasons.empty();
+    WriteResult(result_, options_.out);
+  }
+
+  const Scenario& scenario_;
+  const RunOptions& options_;
+  const Clock::time_point started_ = Clock::now();
+  ScratchFolder scratch_;
+  Result result_;
+  std::vector<std::string> reasons_;
+  bool interrupted_ = false;
+};
+
+}  // namespace
+
+int RunScenario(const Scenario& scenario, const RunOptions& options) {
+  PrepareFolder(options.out);
+  return Run(scenario, options).Play();
+}
+
+}  // namespace merlinrun::scale
