Fit lines through scale results, and tell each role's demand at the target from them

Samples alone say nothing of sizes that no one machine holds. 'fit' draws least squares and Theil-Sen lines through the medians of repeats, with residuals, spread, exponent and sizes, says 'too few sizes' under four, and sets later runs' slopes beside the first one's. 'capacity' evaluates the formulas of docs/capacity/roles.toml over the slopes and the target's figures, and prints, writes or checks the tables of a page. An unknown name in a formula is one line with file and key, status 2.

--- /dev/null
+++ b/scale/capacity_input.cpp
@@ -0,0 +1,86 @@
+#include "scale/capacity_input.hpp"
+
+#include <limits>
+
+#include "scale/table_reader.hpp"
+
+namespace merlinrun::scale {
+namespace {
+
+constexpr double kMost = std::numeric_limits<double>::max();
+
+// Values stand as numbers, or as tables of `value` with `unit` and `reason` for the reader of the file.
+void ReadValues(const std::filesystem::path& file, const std::string& section, const toml::table& table,
+                Targets& targets) {
+  TableReader reader(file, section + ".", table);
+  for (const auto& [key, node] : table) {
+    const std::string name(key.str());
+    if (targets.values.contains(name)) reader.Reject(name, "stands twice");
+    std::string reason;
+    if (node.is_table()) {
+      TableReader entry(file, section + "." + name + ".", *node.as_table());
+      if (!entry.Has("value")) entry.Reject("value", "is missing");
+      targets.values[name] = entry.Number("value", 0, -kMost, kMost);
+      entry.Word("unit", "");
+      reason = entry.Word("reason", "");
+      entry.RejectUnusedKeys();
+    } else {
+      targets.values[name] = reader.Number(name, 0, -kMost, kMost);
+    }
+    if (section != "assumptions") continue;
+    if (reason.empty()) reader.Reject(name, "an assumption needs its reason");
+    targets.assumptions.push_back({name, reason});
+  }
+}
+
+}  // namespace
+
+Targets ReadTargets(const std::filesystem::path& file) {
+  const toml::table root = ParseToml(file, ReadText(file));
+  TableReader reader(file, "", root);
+  Targets targets;
+  for (const char* section : {"targets", "budgets", "assumptions"}) {
+    const toml::table* table = reader.Table(section);
+    if (table == nullptr) reader.Reject(section, "is missing");
+    ReadValues(file, section, *table, targets);
+  }
+  reader.RejectUnusedKeys();
+  return targets;
+}
+
+Roles ReadRoles(const std::filesystem::path& file) {
+  const toml::table root = ParseToml(file, ReadText(file));
+  TableReader reader(file, "", root);
+  Roles roles;
+  roles.file = file;
+  if (const toml::table* formulas = reader.Table("formulas")) {
+    TableReader named(file, "formulas.", *formulas);
+    for (const auto& [key, node] : *formulas) {
+      const std::string name(key.str());
+      roles.formulas[name] = named.Needed(name);
+    }
+  }
+  for (const toml::table* table : reader.Tables("row")) {
+    RoleRow row;
+    row.key = "row[" + std::to_string(roles.rows.size() + 1) + "]";
+    TableReader entry(file, row.key + ".", *table);
+    row.role = entry.Needed("role");
+    row.figure = entry.Needed("figure");
+    row.unit = entry.Needed("unit");
+    row.when = entry.Needed("when");
+    if (row.when != "ordinary" && row.when != "worst" && row.when != "day") {
+      entry.Reject("when", "must be ordinary, worst or day");
+    }
+    row.formula = entry.Needed("formula");
+    row.budget = entry.Needed("budget");
+    row.at = entry.Word("at", "");
+    row.mechanism = entry.Word("mechanism", "");
+    entry.RejectUnusedKeys();
+    roles.rows.push_back(row);
+  }
+  reader.RejectUnusedKeys();
+  if (roles.rows.empty()) reader.Reject("row", "there are no rows");
+  return roles;
+}
+
+}  // namespace merlinrun::scale
--- /dev/null
+++ b/scale/capacity_tables.cpp
@@ -0,0 +1,162 @@
+#include "scale/capacity_tables.hpp"
+
+#include <algorithm>
+#include <boost/algorithm/string/join.hpp>
+#include <boost/algorithm/string/replace.hpp>
+
+#include "scale/numbers.hpp"
+#include "scale/table_reader.hpp"
+
+namespace merlinrun::scale {
+namespace {
+
+// A line of a Markdown table. Bars in a cell would end it.
+std::string Row(std::vector<std::string> cells) {
+  for (std::string& cell : cells) boost::replace_all(cell, "|", "\\|");
+  return "| " + boost::join(cells, " | ") + " |\n";
+}
+
+std::string Head(const std::vector<std::string>& names) {
+  return Row(names) + Row(std::vector<std::string>(names.size(), "---"));
+}
+
+std::string Factor(double factor) { return Short(factor) + (factor > 1 ? " over" : " under"); }
+
+std::string Past(const Demand& demand) {
+  if (demand.past_unknown) return "size not stated";
+  if (!demand.past) return "no slope in it";
+  return (*demand.past > 1 ? "yes, " : "no, ") + Short(*demand.past) + " of the largest size";
+}
+
+const Demand& Worst(const std::vector<Demand>& demands) {
+  return *std::max_element(demands.begin(), demands.end(),
+                           [](const Demand& a, const Demand& b) { return a.Factor() < b.Factor(); });
+}
+
+std::string SlopesTable(const std::vector<FittedRun>& runs) {
+  std::string text = Head({"slope", "run", "per one more", "at none", "Theil-Sen", "sizes", "two decades",
+                           "residual rms", "residual largest", "spread of repeats", "exponent"});
+  for (const FittedRun& run : runs) {
+    const std::string name = run.result.partial ? run.name + ", partial" : run.name;
+    for (const auto& [series_name, series] : run.series) {
+      std::vector<std::string> sizes;
+      for (const double size : series.sizes) sizes.push_back(Short(size));
+      std::vector<std::string> cells = {ToString(series_name), name};
+      if (series.line) {
+        cells.insert(cells.end(),
+                     {Short(series.line->slope), Short(series.line->intercept), Short(series.theil_sen)});
+      } else {
+        cells.insert(cells.end(), {"too few sizes", "-", "-"});
+      }
+      cells.insert(cells.end(), {boost::join(sizes, ", "), series.TwoDecades() ? "yes" : "no"});
+      cells.push_back(series.line ? Percent(series.residual_rms) : "-");
+      cells.push_back(series.line ? Percent(series.residual_largest) : "-");
+      cells.push_back(Percent(series.spread));
+      cells.push_back(series.exponent ? Short(*series.exponent) : "-");
+      text += Row(cells);
+    }
+  }
+  return text;
+}
+
+std::string RolesTable(const std::vector<Demand>& demands) {
+  std::string text = Head({"role", "figure", "when", "demand", "budget", "unit", "of the budget", "rests on",
+                           "formula", "extrapolated", "mechanism"});
+  for (const Demand& demand : demands) {
+    const RoleRow& row = *demand.row;
+    text += Row({row.role, row.figure, row.when, Short(demand.demand), Short(demand.budget), row.unit,
+                 Factor(demand.Factor()),
+                 demand.rests_on.empty() ? "nothing measured" : boost::join(demand.rests_on, "; "),
+                 "`" + row.formula + "`", Past(demand), row.mechanism.empty() ? "missing" : row.mechanism});
+  }
+  return text;
+}
+
+// Each role by its row that is worst.
+std::string RankingTable(const std::vector<Demand>& demands) {
+  std::map<std::string, const Demand*> worst;
+  for (const Demand& demand : demands) {
+    const Demand*& known = worst[demand.row->role];
+    if (known == nullptr || demand.Factor() > known->Factor()) known = &demand;
+  }
+  std::vector<const Demand*> ranked;
+  for (const auto& [role, demand] : worst) ranked.push_back(demand);
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [](const Demand* a, const Demand* b) { return a->Factor() > b->Factor(); });
+  std::string text = Head({"rank", "role", "figure", "when", "demand", "budget", "unit", "of the budget"});
+  for (std::size_t i = 0; i < ranked.size(); ++i) {
+    const RoleRow& row = *ranked[i]->row;
+    text += Row({std::to_string(i + 1), row.role, row.figure, row.when, Short(ranked[i]->demand),
+                 Short(ranked[i]->budget), row.unit, Factor(ranked[i]->Factor())});
+  }
+  return text;
+}
+
+std::string WorstCell(const std::vector<Demand>& demands) {
+  const Demand& worst = Worst(demands);
+  return Factor(worst.Factor()) + " (" + worst.row->role + ", " + worst.row->figure + ", " + worst.row->when +
+         ")";
+}
+
+std::string AssumptionsTable(const CapacityModel& model) {
+  std::string text =
+      Head({"assumption", "value", "reason", "worst at half", "worst as it is", "worst at twice"});
+  for (const Assumption& assumption : model.targets().assumptions) {
+    const double value = model.targets().values.at(assumption.name);
+    text += Row({assumption.name, Short(value), OneLine(assumption.reason),
+                 WorstCell(model.Demands({{assumption.name, value / 2}})), WorstCell(model.Demands()),
+                 WorstCell(model.Demands({{assumption.name, value * 2}}))});
+  }
+  return text;
+}
+
+std::string Start(const std::string& name) { return "<!-- table " + name + " -->\n"; }
+std::string End(const std::string& name) { return "<!-- end " + name + " -->\n"; }
+
+struct Place {
+  std::size_t at;
+  std::size_t size;
+};
+
+// Of the text between a table's markers.
+Place Find(const std::filesystem::path& page, const std::string& text, const std::string& name) {
+  const std::string start = Start(name);
+  const std::size_t found = text.find(start);
+  const std::size_t end = found == std::string::npos ? found : text.find(End(name), found);
+  if (end == std::string::npos) RejectInput(page, "table " + name, "has no place between its markers");
+  if (text.find(start, found + 1) != std::string::npos) RejectInput(page, "table " + name, "has two places");
+  return {found + start.size(), end - found - start.size()};
+}
+
+}  // namespace
+
+std::vector<Table> CapacityTables(const CapacityModel& model) {
+  const std::vector<Demand> demands = model.Demands();
+  return {{"slopes", SlopesTable(model.runs())},
+          {"roles", RolesTable(demands)},
+          {"ranking", RankingTable(demands)},
+          {"assumptions", AssumptionsTable(model)}};
+}
+
+std::string Marked(const Table& table) { return Start(table.name) + table.text + End(table.name); }
+
+std::string ReplaceTables(const std::filesystem::path& page, std::string text,
+                          const std::vector<Table>& tables) {
+  for (const Table& table : tables) {
+    const Place place = Find(page, text, table.name);
+    text.replace(place.at, place.size, table.text);
+  }
+  return text;
+}
+
+std::vector<std::string> DifferingTables(const std::filesystem::path& page, const std::string& text,
+                                         const std::vector<Table>& tables) {
+  std::vector<std::string> differing;
+  for (const Table& table : tables) {
+    const Place place = Find(page, text, table.name);
+    if (text.compare(place.at, place.size, table.text) != 0) differing.push_back(table.name);
+  }
+  return differing;
+}
+
+}  // namespace merlinrun::scale
--- a/scale/commands.cpp
+++ b/scale/commands.cpp
@@ -9,6 +9,9 @@
 #include <filesystem>
 #include <vector>
 
+#include "scale/capacity_tables.hpp"
+#include "scale/fit.hpp"
+#include "scale/results.hpp"
 #include "scale/runner.hpp"
 #include "scale/scenario.hpp"
 #include "scale/table_reader.hpp"
@@ -20,6 +23,13 @@
   std::string scenario;
   std::vector<std::string> steps;
   RunOptions run;
+  std::vector<std::filesystem::path> folders;
+  std::filesystem::path json;
+  std::filesystem::path targets = "docs/capacity/targets.toml";
+  std::filesystem::path roles = "docs/capacity/roles.toml";
+  std::filesystem::path page;
+  bool write = false;
+  bool check = false;
 };
 
 int RunSteps(Arguments& arguments, const std::map<std::string, StepFactory>& kinds) {
@@ -31,6 +41,38 @@
   return RunScenario(scenario, arguments.run);
 }
 
+int FitRuns(const Arguments& arguments) {
+  const std::vector<FittedRun> runs = ReadRuns(arguments.folders);
+  if (!arguments.json.empty()) WriteFile(arguments.json, FitJson(runs));
+  std::fputs(FitTable(runs).c_str(), stdout);
+  return kDone;
+}
+
+int TellCapacity(const Arguments& arguments) {
+  if (!arguments.page.empty() && !arguments.write && !arguments.check) {
+    RejectInput(arguments.page, "--page", "needs --write or --check");
+  }
+  const Targets targets = ReadTargets(arguments.targets);
+  const Roles roles = ReadRoles(arguments.roles);
+  const std::vector<FittedRun> runs = ReadRuns(arguments.folders);
+  const std::vector<Table> tables = CapacityTables(CapacityModel(targets, roles, runs));
+  if (arguments.page.empty()) {
+    for (const Table& table : tables) std::printf("%s\n", Marked(table).c_str());
+    return kDone;
+  }
+  const std::string page = ReadText(arguments.page);
+  if (arguments.write) {
+    WriteFile(arguments.page, ReplaceTables(arguments.page, page, tables));
+    return kDone;
+  }
+  const std::vector<std::string> differing = DifferingTables(arguments.page, page, tables);
+  for (const std::string& name : differing) {
+    std::fprintf(stderr, "rookhub_scale: %s: table %s: differs from the results\n",
+                 OneLine(arguments.page.string()).c_str(), name.c_str());
+  }
+  return differing.empty() ? kDone : kFailed;
+}
+
 // One line, whatever the library says on several.
 int TellUsage(const CLI::App& app, const CLI::ParseError& error) {
   if (error.get_exit_code() == 0) return app.exit(error) == 0 ? kDone : kFailed;
@@ -43,6 +85,41 @@
   return std::filesystem::read_symlink("/proc/self/exe", unknown).parent_path();
 }
 
+CLI::App* AddRun(CLI::App& app, Arguments& arguments) {
+  CLI::App* run = app.add_subcommand("run", "Plays a scenario and leaves DIR/result.json");
+  run->add_option("scenario", arguments.scenario, "The scenario, a TOML file")->required();
+  run->add_option("--out", arguments.run.out, "The folder for the result, made if it is not there")
+      ->required();
+  run->add_option("--steps", arguments.steps, "Only the steps of these kinds");
+  run->add_option("--sidecar", arguments.run.sidecar, "The sidecar; by default the one beside this program");
+  run->add_option("--relay", arguments.run.relay, "The fan-out tier; by default the one beside this program");
+  return run;
+}
+
+CLI::App* AddFit(CLI::App& app, Arguments& arguments) {
+  CLI::App* fit = app.add_subcommand("fit", "Shows the slopes of results, with how far they are from a line");
+  fit->add_option("folders", arguments.folders, "Folders with a result.json each")->required();
+  fit->add_option("--json", arguments.json, "A file for the same as JSON");
+  return fit;
+}
+
+CLI::App* AddCapacity(CLI::App& app, Arguments& arguments) {
+  CLI::App* capacity =
+      app.add_subcommand("capacity", "Shows what the target asks of each role, by the results");
+  capacity
+      ->add_option("folders", arguments.folders, "Folders with a result.json each, the one to rest on first")
+      ->required();
+  capacity->add_option("--targets", arguments.targets, "The target: figures, budgets, assumptions");
+  capacity->add_option("--roles", arguments.roles, "The formulas of each role's demand");
+  CLI::Option* page = capacity->add_option("--page", arguments.page, "A page that holds the tables");
+  CLI::Option* write =
+      capacity->add_flag("--write", arguments.write, "Put the tables into the page")->needs(page);
+  CLI::Option* check =
+      capacity->add_flag("--check", arguments.check, "Status 1 if the page holds other tables")->needs(page);
+  write->excludes(check);
+  return capacity;
+}
+
 }  // namespace
 
 int RunCommand(int argc, const char* const* argv, const std::map<std::string, StepFactory>& kinds,
@@ -55,17 +132,14 @@
   CLI::App app("Measures the sidecar, discovery and the fan-out tier at sizes that one machine can hold.",
                "rookhub_scale");
   app.require_subcommand(1);
-  CLI::App* run = app.add_subcommand("run", "Plays a scenario and leaves DIR/result.json.");
-  run->add_option("scenario", arguments.scenario, "The scenario, a TOML file")->required();
-  run->add_option("--out", arguments.run.out, "The folder for the result, made if it is not there")
-      ->required();
-  run->add_option("--steps", arguments.steps, "Only the steps of these kinds");
-  run->add_option("--sidecar", arguments.run.sidecar, "The sidecar; by default the one beside this program");
-  run->add_option("--relay", arguments.run.relay, "The fan-out tier; by default the one beside this program");
+  CLI::App* run = AddRun(app, arguments);
+  CLI::App* fit = AddFit(app, arguments);
+  AddCapacity(app, arguments);
 
   try {
     app.parse(argc, argv);
-    return RunSteps(arguments, kinds);
+    if (run->parsed()) return RunSteps(arguments, kinds);
+    return fit->parsed() ? FitRuns(arguments) : TellCapacity(arguments);
   } catch (const CLI::ParseError& error) {
     return TellUsage(app, error);
   } catch (const ScenarioError& error) {
--- /dev/null
+++ b/tests/scale/capacity_test.cpp
@@ -0,0 +1,235 @@
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+#include "fake_steps.hpp"
+#include "scale/capacity_tables.hpp"
+#include "scale/fit.hpp"
+#include "scale/formula.hpp"
+
+namespace merlinrun::scale::testing {
+namespace {
+
+Sample Reading(double listed, double bytes, int repeat = 0) {
+  return {"fake", {{"listed", listed}}, {{"memory_bytes", bytes}}, repeat};
+}
+
+const SeriesName kSeries = {"fake", "memory_bytes", "listed", {}};
+
+TEST(ScaleFit, RecoversAKnownLineThroughMediansOfRepeats) {
+  std::vector<Sample> samples;
+  for (const double size : {1, 10, 100, 1000}) {
+    const double y = 100 + 3 * size;
+    for (const double off : {-0.1, 0.0, 0.3}) samples.push_back(Reading(size, y * (1 + off)));
+  }
+  const Series series = FitAll(samples).at(kSeries);
+  ASSERT_TRUE(series.line.has_value());
+  EXPECT_NEAR(series.line->slope, 3, 1e-9);
+  EXPECT_NEAR(series.line->intercept, 100, 1e-6);
+  EXPECT_NEAR(series.theil_sen, 3, 1e-9);
+  EXPECT_NEAR(series.residual_largest, 0, 1e-9);
+  EXPECT_NEAR(series.spread.value(), 0.4, 1e-9);
+  EXPECT_TRUE(series.TwoDecades());
+}
+
+TEST(ScaleFit, TellsAPowerLawFromALine) {
+  std::vector<Sample> samples;
+  for (const double size : {1, 2, 4, 8, 16}) samples.push_back(Reading(size, 5 * size * size));
+  const Series series = FitAll(samples).at(kSeries);
+  EXPECT_NEAR(series.exponent.value(), 2, 1e-9);
+  // The line is 86.25 x - 193.75: at size 1 it is -107.5, not 5.
+  EXPECT_NEAR(series.residual_largest, 22.5, 1e-9);
+  EXPECT_FALSE(series.TwoDecades());
+  EXPECT_FALSE(series.spread.has_value());
+}
+
+TEST(ScaleFit, IsNotThrownByOneBadSize) {
+  std::vector<Sample> samples;
+  for (const double size : {1, 2, 3, 4, 5, 6, 7}) samples.push_back(Reading(size, size == 6 ? 60 : 2 * size));
+  const Series series = FitAll(samples).at(kSeries);
+  EXPECT_NEAR(series.theil_sen, 2, 1e-9);
+  EXPECT_GT(series.line->slope, 4);
+}
+
+TEST(ScaleFit, SaysTooFewSizesInsteadOfASlope) {
+  const Bench bench;
+  const std::string scenario = "name = \"a\"\n[[step]]\nkind = \"fake\"\nlisted = [1, 2, 3]\n";
+  ASSERT_EQ(bench.Run(scenario, "few"), 0);
+  ASSERT_EQ(bench.Call({"fit", bench.folder / "few", "--json", bench.folder / "fit.json"}), 0);
+  EXPECT_NE(bench.out.find("3 sizes 1..3, under two decades; too few sizes"), std::string::npos) << bench.out;
+  EXPECT_NE(Slurp(bench.folder / "fit.json").find("\"slope\": \"too few sizes\""), std::string::npos);
+}
+
+TEST(ScaleFit, KeepsSeriesUnderOtherConditionsApart) {
+  std::vector<Sample> samples;
+  for (const double relays : {1, 2}) {
+    for (const double watches : {1, 2, 3, 4}) {
+      samples.push_back(
+          {"fan_out", {{"watches", watches}, {"relays", relays}}, {{"x", relays * watches}}, 0});
+    }
+  }
+  const auto fitted = FitAll(samples);
+  EXPECT_NEAR(fitted.at({"fan_out", "x", "watches", {{"relays", 2}}}).line->slope, 2, 1e-9);
+  EXPECT_FALSE(fitted.at({"fan_out", "x", "relays", {{"watches", 3}}}).line.has_value());
+  EXPECT_EQ(fitted.size(), 6U);
+}
+
+TEST(ScaleFit, SaysWhetherASecondRunComesOutWithinTheSpread) {
+  Series first;
+  Series later;
+  first.line = Line{10, 0};
+  later.line = Line{10.9, 0};
+  EXPECT_FALSE(WithinSpread(first, later).has_value());
+  first.spread = 0.1;
+  EXPECT_TRUE(WithinSpread(first, later).value());
+  later.line = Line{8.9, 0};
+  EXPECT_FALSE(WithinSpread(first, later).value());
+}
+
+double Known(const std::string& name, std::optional<double> argument) {
+  if (name == "a.b[c=1]") return 10 * argument.value_or(1);
+  throw FormulaError(name + " is not known");
+}
+
+TEST(ScaleFormula, CountsAsPeopleDo) {
+  EXPECT_DOUBLE_EQ(Evaluate("1 + 2 * 3 - 4 / 8", Known), 6.5);
+  EXPECT_DOUBLE_EQ(Evaluate("-(1 - 3) * 2 - 2 - 1", Known), 1);
+  EXPECT_DOUBLE_EQ(Evaluate("max(1, min(7, 5), 2) / 2 / 5", Known), 0.5);
+  EXPECT_DOUBLE_EQ(Evaluate("a.b[c=1] + a.b[c=1](3e1)", Known), 310);
+}
+
+TEST(ScaleFormula, TellsWhatIsNone) {
+  for (const char* bad :
+       {"", "1 +", "1 2", "(1", "1 / (2 - 2)", "b", "a.b[c=1", "max(1", "1e999", "2 ^ 2", "1e300*1e300"}) {
+    EXPECT_THROW(Evaluate(bad, Known), FormulaError) << bad;
+  }
+  EXPECT_THROW(Evaluate(std::string(100000, '('), Known), FormulaError);
+}
+
+constexpr char kTargets[] = R"toml(
+[targets]
+servers = 14000
+[budgets]
+memory = { value = 20000, unit = "bytes" }
+[assumptions]
+listed_share = { value = 0.5, reason = "tried" }
+)toml";
+
+constexpr char kRoles[] = R"toml(
+[formulas]
+listed = "servers * listed_share"
+[[row]]
+role = "sidecar"
+figure = "memory"
+unit = "bytes"
+when = "ordinary"
+formula = "line.fake.memory_bytes.listed(listed)"
+budget = "memory"
+[[row]]
+role = "control"
+figure = "memory"
+unit = "bytes"
+when = "worst"
+formula = "slope.fake.memory_bytes.listed * 100 + median.fake.memory_bytes[listed=10]"
+budget = "memory / 2"
+at = "100"
+mechanism = "lists"
+)toml";
+
+class ScaleCapacity : public ::testing::Test {
+ protected:
+  ScaleCapacity() {
+    EXPECT_EQ(bench.Run("name = \"a\"\n[[step]]\nkind = \"fake\"\n", "first"), 0);
+    bench.Write("targets.toml", kTargets);
+    bench.Write("roles.toml", kRoles);
+  }
+
+  int Capacity(const std::vector<std::string>& more = {}) const {
+    std::vector<std::string> all = {"capacity",  bench.folder / "first",
+                                    "--targets", bench.folder / "targets.toml",
+                                    "--roles",   bench.folder / "roles.toml"};
+    all.insert(all.end(), more.begin(), more.end());
+    return bench.Call(all);
+  }
+
+  void Has(const std::string& text) const { EXPECT_NE(bench.out.find(text), std::string::npos) << bench.out; }
+
+  const Bench bench;
+};
+
+TEST_F(ScaleCapacity, ShowsDemandsAtTheTarget) {
+  ASSERT_EQ(Capacity(), 0) << bench.error;
+  // 100 + 3 * 7000 of 20000; the largest size measured is 1000.
+  Has("| sidecar | memory | ordinary | 21100 | 20000 | bytes | 1.055 over | line.fake.memory_bytes.listed "
+      "(first) | "
+      "`line.fake.memory_bytes.listed(listed)` | yes, 7 of the largest size | missing |");
+  Has("| control | memory | worst | 430 | 10000 | bytes | 0.043 under |");
+  Has("| no, 0.1 of the largest size | lists |");
+  Has("| 1 | sidecar | memory | ordinary |");
+  Has("| 2 | control | memory | worst |");
+  Has("| listed_share | 0.5 | tried | 0.53 under (sidecar, memory, ordinary) | 1.055 over (sidecar, memory, "
+      "ordinary) | "
+      "2.105 over (sidecar, memory, ordinary) |");
+  Has("| fake.memory_bytes.listed | first | 3 | 100 | 3 | 1, 10, 100, 1000 | yes | 0.0% | 0.0% | - |");
+}
+
+TEST_F(ScaleCapacity, ChecksThePageToTheLastDigit) {
+  std::string page = "Before\n";
+  for (const char* name : {"ranking", "slopes", "roles", "assumptions"}) {
+    page += std::string("<!-- table ") + name + " -->\n<!-- end " + name + " -->\nbetween\n";
+  }
+  const std::string file = bench.Write("page.md", page);
+  EXPECT_EQ(Capacity({"--page", file, "--check"}), 1);
+  ASSERT_EQ(Capacity({"--page", file, "--write"}), 0) << bench.error;
+  std::string written = Slurp(file);
+  EXPECT_EQ(written.substr(0, 7), "Before\n");
+  EXPECT_EQ(Capacity({"--page", file, "--check"}), 0) << bench.error;
+  const std::size_t digit = written.find("21100", written.find("table roles"));
+  ASSERT_NE(digit, std::string::npos);
+  written[digit] = '3';
+  bench.Write("page.md", written);
+  EXPECT_EQ(Capacity({"--page", file, "--check"}), 1);
+  EXPECT_EQ(bench.error, "rookhub_scale: " + file + ": table roles: differs from the results\n");
+  bench.Write("page.md", "none\n");
+  EXPECT_EQ(Capacity({"--page", file, "--write"}), 2);
+  EXPECT_EQ(Slurp(file), "none\n");
+}
+
+TEST_F(ScaleCapacity, TellsFileAndKeyOfWhatHasNoValue) {
+  const std::vector<std::pair<std::string, std::string>> bad = {
+      {"serves * 2", "row[1].formula: serves is not known"},
+      {"slope.fake.memory.listed", "row[1].formula: slope.fake.memory.listed was not measured"},
+      {"line.fake.memory_bytes.listed", "row[1].formula: line.fake.memory_bytes.listed needs a size"},
+      {"median.fake.memory_bytes",
+       "row[1].formula: median.fake.memory_bytes was taken under several conditions"},
+      {"median.fake.memory_bytes[listed]", "row[1].formula: [listed] must be conditions"},
+      {"1 +", "row[1].formula: a value is missing"},
+  };
+  const std::string formula = "line.fake.memory_bytes.listed(listed)";
+  for (const auto& [instead, told] : bad) {
+    std::string roles = kRoles;
+    bench.Write("roles.toml", roles.replace(roles.find(formula), formula.size(), instead));
+    EXPECT_EQ(Capacity(), 2);
+    const std::string start = "rookhub_scale: " + (bench.folder / "roles.toml").string() + ": " + told;
+    EXPECT_EQ(bench.error.substr(0, start.size()), start);
+  }
+}
+
+TEST_F(ScaleCapacity, TellsAFormulaThatRestsOnItselfAndABudgetOfNone) {
+  std::string roles = kRoles;
+  bench.Write("roles.toml", roles.replace(roles.find("servers * listed_share"), 22, "listed * 2"));
+  EXPECT_EQ(Capacity(), 2);
+  EXPECT_NE(bench.error.find("row[1].formula: listed: listed rests on itself"), std::string::npos)
+      << bench.error;
+  roles = kRoles;
+  bench.Write("roles.toml", roles.replace(roles.find("memory / 2"), 10, "memory - memory"));
+  EXPECT_EQ(Capacity(), 2);
+  EXPECT_NE(bench.error.find("row[2].budget: must be above 0"), std::string::npos) << bench.error;
+  bench.Write("targets.toml", std::string(kTargets) + "other = 4\n");
+  EXPECT_EQ(Capacity(), 2);
+  EXPECT_NE(bench.error.find("assumptions.other: an assumption needs its reason"), std::string::npos)
+      << bench.error;
+}
+
+}  // namespace
+}  // namespace merlinrun::scale::testing
