--- a/scale/capacity.cpp
+++ b/scale/capacity.cpp
@@ -179,6 +179,10 @@
 std::vector<Demand> CapacityModel::Demands(const std::map<std::string, double>& instead) const {
   std::map<std::string, double> values = targets_.values;
   for (const auto& [name, value] : instead) values[name] = value;
+  for (const auto& [name, formula] : roles_.formulas) {
+    if (values.contains(name))
+      RejectInput(roles_.file, "formulas." + name, "is a name of the targets file too");
+  }
   std::vector<Demand> demands;
   for (const RoleRow& row : roles_.rows) {
     Demand demand;
--- a/scale/capacity_input.cpp
+++ b/scale/capacity_input.cpp
@@ -12,13 +12,16 @@
 // Values stand as numbers, or as tables of `value` with `unit` and `reason` for the reader of the file.
 void ReadValues(const std::filesystem::path& file, const std::string& section, const toml::table& table,
                 Targets& targets) {
-  TableReader reader(file, section + ".", table);
+  std::string prefix = section + ".";
+  TableReader reader(file, prefix, table);
   for (const auto& [key, node] : table) {
     const std::string name(key.str());
     if (targets.values.contains(name)) reader.Reject(name, "stands twice");
     std::string reason;
     if (node.is_table()) {
-      TableReader entry(file, section + "." + name + ".", *node.as_table());
+      prefix.resize(section.size() + 1);
+      prefix.append(name).append(".");
+      TableReader entry(file, prefix, *node.as_table());
       if (!entry.Has("value")) entry.Reject("value", "is missing");
       targets.values[name] = entry.Number("value", 0, -kMost, kMost);
       entry.Word("unit", "");
--- a/scale/capacity_tables.cpp
+++ b/scale/capacity_tables.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/algorithm/string/join.hpp>
 #include <boost/algorithm/string/replace.hpp>
+#include <cmath>
+#include <map>
 
 #include "scale/numbers.hpp"
 #include "scale/table_reader.hpp"
@@ -34,8 +36,9 @@
 }
 
 std::string SlopesTable(const std::vector<FittedRun>& runs) {
-  std::string text = Head({"slope", "run", "per one more", "at none", "Theil-Sen", "sizes", "two decades",
-                           "residual rms", "residual largest", "spread of repeats", "exponent"});
+  std::string text =
+      Head({"slope", "run", "per one more", "at none", "Theil-Sen", "sizes", "two decades", "residual rms",
+            "residual largest", "spread of repeats", "exponent", "exponent of the increase"});
   for (const FittedRun& run : runs) {
     const std::string name = run.result.partial ? run.name + ", partial" : run.name;
     for (const auto& [series_name, series] : run.series) {
@@ -52,7 +55,8 @@
       cells.push_back(series.line ? Percent(series.residual_rms) : "-");
       cells.push_back(series.line ? Percent(series.residual_largest) : "-");
       cells.push_back(Percent(series.spread));
-      cells.push_back(series.exponent ? Short(*series.exponent) : "-");
+      cells.push_back(ShortOrDash(series.exponent));
+      cells.push_back(ShortOrDash(series.increase_exponent));
       text += Row(cells);
     }
   }
@@ -80,6 +84,7 @@
     if (known == nullptr || demand.Factor() > known->Factor()) known = &demand;
   }
   std::vector<const Demand*> ranked;
+  ranked.reserve(worst.size());
   for (const auto& [role, demand] : worst) ranked.push_back(demand);
   std::stable_sort(ranked.begin(), ranked.end(),
                    [](const Demand* a, const Demand* b) { return a->Factor() > b->Factor(); });
@@ -98,14 +103,32 @@
          ")";
 }
 
-std::string AssumptionsTable(const CapacityModel& model) {
-  std::string text =
-      Head({"assumption", "value", "reason", "worst at half", "worst as it is", "worst at twice"});
+// The row whose factor an assumption moves most, in ratio, and from where to where.
+std::string MovedCell(const std::vector<Demand>& half, const std::vector<Demand>& twice) {
+  std::size_t most = 0;
+  double largest = 0;
+  for (std::size_t i = 0; i < half.size(); ++i) {
+    const double moved = std::abs(std::log(twice[i].Factor() / half[i].Factor()));
+    if (moved > largest) {
+      largest = moved;
+      most = i;
+    }
+  }
+  if (largest < 1e-9) return "nothing";
+  const RoleRow& row = *half[most].row;
+  return Short(half[most].Factor()) + " to " + Short(twice[most].Factor()) + " (" + row.role + ", " +
+         row.figure + ", " + row.when + ")";
+}
+
+std::string AssumptionsTable(const CapacityModel& model, const std::vector<Demand>& demands) {
+  std::string text = Head(
+      {"assumption", "value", "reason", "worst at half", "worst as it is", "worst at twice", "moves most"});
   for (const Assumption& assumption : model.targets().assumptions) {
     const double value = model.targets().values.at(assumption.name);
-    text += Row({assumption.name, Short(value), OneLine(assumption.reason),
-                 WorstCell(model.Demands({{assumption.name, value / 2}})), WorstCell(model.Demands()),
-                 WorstCell(model.Demands({{assumption.name, value * 2}}))});
+    const std::vector<Demand> half = model.Demands({{assumption.name, value / 2}});
+    const std::vector<Demand> twice = model.Demands({{assumption.name, value * 2}});
+    text += Row({assumption.name, Short(value), OneLine(assumption.reason), WorstCell(half),
+                 WorstCell(demands), WorstCell(twice), MovedCell(half, twice)});
   }
   return text;
 }
@@ -135,7 +158,7 @@
   return {{"slopes", SlopesTable(model.runs())},
           {"roles", RolesTable(demands)},
           {"ranking", RankingTable(demands)},
-          {"assumptions", AssumptionsTable(model)}};
+          {"assumptions", AssumptionsTable(model, demands)}};
 }
 
 std::string Marked(const Table& table) { return Start(table.name) + table.text + End(table.name); }
--- a/scale/fit.cpp
+++ b/scale/fit.cpp
@@ -83,6 +83,13 @@
   series.theil_sen = TheilSen(series.sizes, series.medians);
   SetResiduals(series);
   series.exponent = Exponent(series.sizes, series.medians);
+  std::vector<double> size_increase;
+  std::vector<double> increase;
+  for (std::size_t i = 1; i < series.sizes.size(); ++i) {
+    size_increase.push_back(series.sizes[i] - series.sizes[0]);
+    increase.push_back(series.medians[i] - series.medians[0]);
+  }
+  series.increase_exponent = Exponent(size_increase, increase);
   return series;
 }
 
--- a/scale/fit.hpp
+++ b/scale/fit.hpp
@@ -48,6 +48,9 @@
   // Of a power law through the medians, 1 for a straight line through the origin; none if a median is not
   // above 0.
   std::optional<double> exponent;
+  // The same of the increase over the smallest size, 1 for any straight line; none if the figure does not
+  // grow.
+  std::optional<double> increase_exponent;
 
   bool TwoDecades() const { return sizes.front() > 0 && sizes.back() >= 100 * sizes.front(); }
 };
--- a/scale/fit_report.cpp
+++ b/scale/fit_report.cpp
@@ -31,8 +31,8 @@
   if (series.line) {
     out << "; slope " << Short(series.line->slope) << ", intercept " << Short(series.line->intercept)
         << ", Theil-Sen " << Short(series.theil_sen) << "; residual rms " << Percent(series.residual_rms)
-        << ", largest " << Percent(series.residual_largest) << "; exponent "
-        << (series.exponent ? Short(*series.exponent) : "-");
+        << ", largest " << Percent(series.residual_largest) << "; exponent " << ShortOrDash(series.exponent)
+        << ", of the increase " << ShortOrDash(series.increase_exponent);
   } else {
     out << "; too few sizes";
   }
@@ -65,6 +65,7 @@
   entry["residual_rms"] = series.residual_rms;
   entry["residual_largest"] = series.residual_largest;
   if (series.exponent) entry["exponent"] = *series.exponent;
+  if (series.increase_exponent) entry["increase_exponent"] = *series.increase_exponent;
   return entry;
 }
 
@@ -82,6 +83,8 @@
   return out.str() == "-0" ? "0" : out.str();
 }
 
+std::string ShortOrDash(std::optional<double> value) { return value ? Short(*value) : "-"; }
+
 std::string Percent(std::optional<double> share) {
   if (!share) return "-";
   std::ostringstream out;
--- a/scale/numbers.hpp
+++ b/scale/numbers.hpp
@@ -10,6 +10,8 @@
 // Four significant digits without an exponent where it can be: "14000", "0.001235", "1.235e+09".
 std::string Short(double value);
 
+std::string ShortOrDash(std::optional<double> value);
+
 // "3.4%", or "-" for none.
 std::string Percent(std::optional<double> share);
 
--- a/scale/table_reader.cpp
+++ b/scale/table_reader.cpp
@@ -117,7 +117,7 @@
 }
 
 std::string TableReader::Needed(const std::string& key) {
-  const std::string value = Word(key, "");
+  std::string value = Word(key, "");
   if (value.empty()) Reject(key, Has(key) ? "must not be empty" : "is missing");
   return value;
 }
--- a/tests/scale/capacity_test.cpp
+++ b/tests/scale/capacity_test.cpp
@@ -27,6 +27,8 @@
   EXPECT_NEAR(series.line->slope, 3, 1e-9);
   EXPECT_NEAR(series.line->intercept, 100, 1e-6);
   EXPECT_NEAR(series.theil_sen, 3, 1e-9);
+  EXPECT_LT(series.exponent.value(), 0.9);  // the part that does not grow
+  EXPECT_NEAR(series.increase_exponent.value(), 1, 1e-9);
   EXPECT_NEAR(series.residual_largest, 0, 1e-9);
   EXPECT_NEAR(series.spread.value(), 0.4, 1e-9);
   EXPECT_TRUE(series.TwoDecades());
@@ -169,8 +171,9 @@
   Has("| 2 | control | memory | worst |");
   Has("| listed_share | 0.5 | tried | 0.53 under (sidecar, memory, ordinary) | 1.055 over (sidecar, memory, "
       "ordinary) | "
-      "2.105 over (sidecar, memory, ordinary) |");
-  Has("| fake.memory_bytes.listed | first | 3 | 100 | 3 | 1, 10, 100, 1000 | yes | 0.0% | 0.0% | - |");
+      "2.105 over (sidecar, memory, ordinary) | 0.53 to 2.105 (sidecar, memory, ordinary) |");
+  Has("| fake.memory_bytes.listed | first | 3 | 100 | 3 | 1, 10, 100, 1000 | yes | 0.0% | 0.0% | - | 0.4924 "
+      "| 1 |");
 }
 
 TEST_F(ScaleCapacity, ChecksThePageToTheLastDigit) {
@@ -225,6 +228,10 @@
   bench.Write("roles.toml", roles.replace(roles.find("memory / 2"), 10, "memory - memory"));
   EXPECT_EQ(Capacity(), 2);
   EXPECT_NE(bench.error.find("row[2].budget: must be above 0"), std::string::npos) << bench.error;
+  bench.Write("roles.toml", std::string("[formulas]\nservers = \"2\"") + std::string(kRoles).substr(11));
+  EXPECT_EQ(Capacity(), 2);
+  EXPECT_NE(bench.error.find("formulas.servers: is a name of the targets file too"), std::string::npos)
+      << bench.error;
   bench.Write("targets.toml", std::string(kTargets) + "other = 4\n");
   EXPECT_EQ(Capacity(), 2);
   EXPECT_NE(bench.error.find("assumptions.other: an assumption needs its reason"), std::string::npos)
