Tell a folder that takes no result before the scale run starts, with status 2

The first write of the result came before any step, but its failure ended with status 1 as though a step had failed. It is now one line with file and key, status 2; tried with a folder that takes no files.

--- a/scale/runner.cpp
+++ b/scale/runner.cpp
@@ -57,7 +57,11 @@
   }
 
   int Play() {
-    Write({"the run has not ended"});
+    try {
+      Write({"the run has not ended"});
+    } catch (const std::exception&) {
+      RejectInput(ResultFile(options_.out), "--out", "cannot be written");
+    }
     for (const PlannedStep& planned : scenario_.steps) {
       if (options_.should_stop()) {
         interrupted_ = true;
--- a/tests/scale/frame_test.cpp
+++ b/tests/scale/frame_test.cpp
@@ -83,6 +83,8 @@
   EXPECT_EQ(bench.Call({"run"}), 2);
   EXPECT_EQ(std::count(bench.error.begin(), bench.error.end(), '\n'), 1) << bench.error;
   EXPECT_EQ(bench.Run(kGood, "out", {"--sidecar", "/nonexistent"}), 2);
+  EXPECT_EQ(bench.Run(kGood, "/proc/self"), 2);
+  EXPECT_EQ(bench.error, "rookhub_scale: /proc/self/result.json: --out: cannot be written\n");
   EXPECT_EQ(steps_run, 0);
 }
 
