--- a/scale/discovery_stand_in.hpp
+++ b/scale/discovery_stand_in.hpp
@@ -75,6 +75,7 @@
 
   std::int64_t generation() const { return list_.generation(); }
   const Counts& counts() const { return counts_; }
+  void CountSecondsAnew() { counts_.most_calls_in_a_second = calls_in_second_ = 0; }
   std::uint64_t serialized() const { return list_.serialized(); }  // objects; one serves all that get it
   const std::vector<Tcp::endpoint>& addresses() const { return addresses_; }
 
@@ -105,6 +106,7 @@
   std::size_t Lines(const Call& call) const;
   void Tell(const FramePtr& frame);
   void TickBlankLines();
+  void ResetConnections();
   void CloseAll();
 
   asio::io_context& io_;
--- a/tests/scale/discovery_stand_in_test.cpp
+++ b/tests/scale/discovery_stand_in_test.cpp
@@ -24,6 +24,7 @@
 
 std::vector<Entry> Servers(int count) {
   std::vector<Entry> servers;
+  servers.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) servers.push_back(Server(i));
   return servers;
 }
