Measure discovery and its sidecars by sizes, rates and what befalls them

On loopback the kernel does a receiver's work within the sender's call, so discovery's figures hold a part of the sidecars' network cost.

--- /dev/null
+++ b/scale/change_size.cpp
@@ -0,0 +1,80 @@
+// What a change takes at a sidecar by the number of servers that it knows of.
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include "discovery_rig.hpp"
+#include "discovery_steps.hpp"
+
+namespace merlinrun::scale {
+namespace {
+
+constexpr double kBlankLineBytes = 6;  // as a chunk
+constexpr double kBetween_s = 0.01;    // changes: each is read alone
+
+class ChangeSize : public Step {
+ public:
+  explicit ChangeSize(Parameters& parameters)
+      : listed_(parameters.Integers("listed", {100, 500, 2000, 7000, 14'000}, 1, 50'000)),
+        sidecars_(parameters.Integer("sidecars", 20, 1, 1000)),
+        changes_(parameters.Integer("changes", 50, 1, 10'000)),
+        bulk_(parameters.Integer("bulk", 1000, 1, 50'000)) {}
+
+  Needs Requires() const override {
+    return DiscoveryRig::Requires({*std::max_element(listed_.begin(), listed_.end())}, sidecars_);
+  }
+
+  void Run(Context& context) override {
+    ReadEach(context, listed_, [&](std::int64_t listed, int repeat) { Read(context, listed, repeat); });
+  }
+
+ private:
+  void Read(Context& context, std::int64_t listed, int repeat) const {
+    DiscoveryRig rig(context, {listed});
+    rig.Add(sidecars_);
+    rig.AwaitForce(rig.Counts().at("generation").get<std::int64_t>());
+    const auto before = rig.Counts();
+    const std::int64_t cpu = rig.FleetFigure("cpu_us");
+    std::int64_t generation = 0;
+    for (std::int64_t i = 0; i < changes_; ++i) {
+      const char* const lifecycle = i / listed % 2 == 0 ? "draining" : "up";
+      generation = rig.Change({{"first", i % listed}, {"lifecycle", lifecycle}});
+      rig.Pass(kBetween_s);
+    }
+    rig.AwaitForce(generation);
+    const std::int64_t changed_cpu = rig.FleetFigure("cpu_us");
+    const auto after = rig.Counts();
+    const std::int64_t entries = std::min(bulk_, listed);
+    const std::int64_t bulk_cpu = rig.FleetFigure("cpu_us");
+    rig.AwaitForce(rig.Change({{"first", 0}, {"count", entries}, {"lifecycle", "draining"}}));
+    const std::int64_t end_cpu = rig.FleetFigure("cpu_us");
+
+    const auto all = static_cast<double>(sidecars_ * changes_);
+    const double bytes =
+        Gain(before, after, "bytes_out") - kBlankLineBytes * Gain(before, after, "blank_lines");
+    Sample sample;
+    sample.measure = "change_size";
+    sample.repeat = repeat;
+    sample.conditions = {{"listed", static_cast<double>(listed)}};
+    sample.figures = {
+        {"cpu_us_per_change", static_cast<double>(changed_cpu - cpu) / all},
+        {"bytes_in_per_change", bytes / all},
+        {"cpu_us_per_entry_in_bulk",
+         static_cast<double>(end_cpu - bulk_cpu) / static_cast<double>(sidecars_ * entries)},
+    };
+    context.recorder.Add(std::move(sample));
+  }
+
+  const std::vector<std::int64_t> listed_;
+  const std::int64_t sidecars_;
+  const std::int64_t changes_;
+  const std::int64_t bulk_;
+};
+
+}  // namespace
+
+std::unique_ptr<Step> MakeChangeSize(Parameters& parameters) {
+  return std::make_unique<ChangeSize>(parameters);
+}
+
+}  // namespace merlinrun::scale
--- /dev/null
+++ b/scale/play.cpp
@@ -0,0 +1,86 @@
+#include "play.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "server_list.hpp"
+
+namespace merlinrun::scale {
+namespace {
+
+class PlayStep : public Step {
+ public:
+  PlayStep(const char* name, PlotFactory plot, Parameters& parameters)
+      : name_(name),
+        sidecars_(parameters.Integers("sidecars", {100, 400, 2000, 8000}, 1, 19'000)),
+        plot_(plot(parameters)) {
+    options_.listed = ListedOf(parameters);
+    options_.regions = RegionsOf(parameters);
+    options_.fleets = parameters.Integer("processes", 4, 1, 64);
+    options_.service_time_us = parameters.Integer("service_time_us", 100, 0, 1'000'000);
+    options_.queue = parameters.Integer("queue", 100'000, 1, 1'000'000);
+    options_.must_subscribe = parameters.Flag("must_subscribe", false);
+  }
+
+  Needs Requires() const override {
+    return DiscoveryRig::Requires(options_, *std::max_element(sidecars_.begin(), sidecars_.end()));
+  }
+
+  void Run(Context& context) override {
+    ReadEach(context, sidecars_, [&](std::int64_t sidecars, int repeat) { Read(context, sidecars, repeat); });
+  }
+
+ private:
+  void Read(Context& context, std::int64_t sidecars, int repeat) {
+    DiscoveryRig rig(context, options_);
+    const auto first = rig.Counts().at("generation").get<std::int64_t>();
+    rig.Add(sidecars);
+    rig.AwaitForce(first);
+    while (rig.Counts().at("watches").get<std::int64_t>() < sidecars) rig.Pass(0.1);
+    const std::int64_t cpu = rig.FleetFigure("cpu_us");
+    const auto before = rig.Counts();
+
+    Sample sample;
+    sample.measure = name_;
+    sample.repeat = repeat;
+    sample.conditions = {{"sidecars", static_cast<double>(sidecars)}};
+    plot_->Play(rig, sample.figures);
+    const auto played = rig.Counts();
+    rig.AwaitForce(played.at("generation").get<std::int64_t>());
+    const std::int64_t end_cpu = rig.FleetFigure("cpu_us");
+    const auto after = rig.Counts();
+    plot_->Conclude(rig, sample.figures);
+
+    const auto changes = rig.ChangesSince(first);
+    const double us = Gain(before, after, "at_us");
+    const Spread spread = rig.Force(changes);
+    AddSpread("in_force", spread, sample.figures);
+    sample.figures["changes"] = static_cast<double>(changes.size());
+    sample.figures["in_force_count"] = static_cast<double>(spread.count);
+    sample.figures["calls"] = Gain(before, after, "calls");
+    sample.figures["refused"] = Gain(before, after, "refused");
+    sample.figures["bytes_out"] = Gain(before, after, "bytes_out");
+    sample.figures["most_calls_in_a_second"] = std::max(played.at("most_calls_in_a_second").get<double>(),
+                                                        after.at("most_calls_in_a_second").get<double>());
+    sample.figures["discovery_cpu_share"] = Gain(before, after, "cpu_us") / us;
+    sample.figures["sidecar_cpu_share"] =
+        static_cast<double>(end_cpu - cpu) / us / static_cast<double>(sidecars);
+    context.recorder.Add(std::move(sample));
+  }
+
+  const std::string name_;
+  const std::vector<std::int64_t> sidecars_;
+  const std::unique_ptr<Plot> plot_;
+  DiscoveryRig::Options options_;
+};
+
+}  // namespace
+
+std::unique_ptr<Step> MakePlay(const char* name, PlotFactory plot, Parameters& parameters) {
+  return std::make_unique<PlayStep>(name, plot, parameters);
+}
+
+std::int64_t ListedOf(Parameters& parameters) { return parameters.Integer("listed", 300, kZones, 50'000); }
+std::int64_t RegionsOf(Parameters& parameters) { return parameters.Integer("regions", 10, 1, 250); }
+
+}  // namespace merlinrun::scale
