Begin no attempt for a client that has left: look before a first one and after a dial

Cause: Sidecar::Send looked whether the client has left only before what had waited (Call::waited), so not before a first attempt that is read late: from the accept queue, or behind another request whose answer went out after the client had left. And where settings forbid cancelling, a dial was left to come up after the client had been seen to leave, and its request was written then.

Change: Wanted() is asked before every attempt and, as the event `wanted`, when a dialled connection has come up; if nobody waits, nothing is written and the attempt counts as never sent. Call::waited is gone.

Covered before and not doubled: LeavingTest (a wait for a retry, by FIN or RST, with bytes behind; the turn of the retry by FIN; a dial by RST without a late connection). Ruled out: the module (it forgets a request whose client has gone). Not to be seen still: a FIN stuck behind more than the kernel takes in.

--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -309,8 +309,6 @@
   const std::string key(KeyOf(View(head.target())));
   in.key = key;
   balancer_->OnRequest(now, in);
-  const auto it = calls_.find(id);
-  if (it != calls_.end()) it->second.waited = true;
   EraseIfOver(id);
 }
 
@@ -472,6 +470,12 @@
   calls_.erase(it);
 }
 
+// Guards against an attempt for a client that left while its request waited, in the accept queue, behind
+// another, for a retry or for a connection, where nobody has come to notice it.
+bool Sidecar::Wanted(const Call& call) {
+  return call.session != nullptr && !Inbound::ClientLeft(call.session);
+}
+
 // What the protocol names and nothing else: whatever else came along may mean something to a server.
 Message<true> Sidecar::Forwarded(const Call& call, Micros left) {
   Message<true> out;
@@ -520,15 +524,17 @@
   attempt.sent = now;
   attempt.timeout = timeout;
   attempt.expires = timeout > 0 && !call.partial ? std::min(call.deadline, now + timeout) : call.deadline;
-  // The client may have left while its request waited, and nobody have come to notice it.
-  const bool deserted = call.session != nullptr && call.waited && Inbound::ClientLeft(call.session);
-  if (call.session == nullptr || deserted || call.spent || now >= attempt.expires) {
+  if (!Wanted(call) || call.spent || now >= attempt.expires) {
     call.attempts.push_back(attempt);
     asio::post(io_, [this, id, number] { Conclude(id, number, Result::kNeverSent); });
     return;
   }
   Upstream::Events events;
   events.done = [this, id, number](UpstreamAnswer answer) { OnAnswer(id, number, std::move(answer)); };
+  events.wanted = [this, id] {
+    const auto dialed = calls_.find(id);
+    return dialed != calls_.end() && Wanted(dialed->second);
+  };
   if (call.partial) {
     events.drawn = [this, id] {
       const auto drawn = calls_.find(id);
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -68,7 +68,6 @@
     Message<true> request;
     bool partial = false;         // its body is still coming in
     bool spent = false;           // some of its body has been passed on and is not held
-    bool waited = false;          // the turn in which it came is over
     Inbound::SessionPtr session;  // null once it has been answered or its client has gone
     std::size_t request_class = 0;
     Micros deadline = 0;  // the final answer is owed before
@@ -109,6 +108,8 @@
   void Watch(const std::string& id, Call& call);
   void OnDue(const std::string& id);
   void EraseIfOver(const std::string& id);
+  // Whether somebody still waits for the answer; nothing is begun otherwise.
+  static bool Wanted(const Call& call);
   static Message<true> Forwarded(const Call& call, Micros left);
   std::optional<Fault> Check(const RequestHeader& request, int request_class) const;
   Micros BudgetOf(const RequestHeader& request, std::size_t request_class) const;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -150,8 +150,13 @@
  private:
   void FailLater() {
     pool_.Note(Trouble::kRefusedDial, server_->info.id);
-    asio::post(pool_.io_, [self = shared_from_this()] {
-      if (!self->closed_) self->Finish(Result::kUnreachable, /*reuse=*/false);
+    FinishLater(Result::kUnreachable);
+  }
+
+  // Not if the attempt is given up before.
+  void FinishLater(Result result) {
+    asio::post(pool_.io_, [self = shared_from_this(), result] {
+      if (!self->closed_) self->Finish(result, /*reuse=*/false);
     });
   }
 
@@ -163,6 +168,7 @@
     // drain, is gone, or has restarted and is cold. Nothing is written, so it never ran.
     if (error) return Fail(Result::kUnreachable, Trouble::kRefusedDial);
     if (!Current()) return Fail(Result::kUnreachable, Trouble::kStaleDial);
+    if (job_->events.wanted && !job_->events.wanted()) return FinishLater(Result::kNeverSent);
     Read();
     Write();
   }
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -35,6 +35,9 @@
   using Done = std::function<void(UpstreamAnswer)>;
   struct Events {
     Done done;
+    // Asked when a connection that had to be dialled has come up: if false, nothing is written to it, and the
+    // attempt is done as one that was never sent.
+    std::function<bool()> wanted = nullptr;
     // Of a request that is not held whole: what follows is being asked for, so that it cannot be sent again;
     // and its last byte has been written.
     std::function<void()> drawn = nullptr;
