Let whoever follows discovery see accepted objects as they came, and signs of life

A relay passes entries on with members that this client does not read, and has to tell whether its watch is heard while nothing changes. Two optional events; nothing else changes.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -223,6 +223,7 @@
 
   void TakePiece() {
     if (owner_ != nullptr && !whole_) owner_->binds_.reset();  // it is heard: what it tells, it tells in time
+    if (owner_ != nullptr && owner_->events_.on_heard) owner_->events_.on_heard();
     for (const char c : std::string_view(piece_.data(), piece_.size() - parser_.get().body().size)) {
       if (owner_ == nullptr) return;
       if (!objects_.Take(c)) return End("no JSON", true);
@@ -327,6 +328,7 @@
   complained_ = false;
   generation_ = list->generation;
   binds_.reset();
+  if (events_.on_object) events_.on_object(json);
   events_.on_list(*list);
 }
 
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -56,6 +56,10 @@
     // The watch ended or never opened. Where news may bind before it is heard, discovery has to be asked
     // again within a time.
     std::function<void(std::optional<Micros> within)> on_failed;
+    // Optional: an object that has been accepted, as it came, right before `on_list`.
+    std::function<void(const nlohmann::json&)> on_object{};
+    // Optional: a sign of life of a call, blank lines too.
+    std::function<void()> on_heard{};
   };
 
   Discovery(asio::io_context& io, Tcp::endpoint address, const drill::WireSettings& names, Timing timing,
