Fan discovery out: a relay with one watch above and many below, on the same protocol

Cause: each change is written by the one discovery to every sidecar, and after a restart all of them ask it for the whole list, one call after another.

--- /dev/null
+++ b/relay/main.cpp
@@ -0,0 +1,64 @@
+// rookhub_relay: passes the list of servers on from discovery to many sidecars.
+// Exit status: 0 after SIGTERM or SIGINT, 1 if it cannot listen, 2 if the command line makes no sense.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "relay/options.hpp"
+#include "relay/relay.hpp"
+
+namespace {
+
+using merlinrun::relay::Relay;
+
+// What escapes a handler ends that handler and not the relay, with all its watches.
+void RunToTheEnd(boost::asio::io_context& io) {
+  for (;;) {
+    try {
+      io.run();
+      return;
+    } catch (const std::exception& error) {
+      spdlog::error("{}", error.what());
+    }
+  }
+}
+
+int Serve(const std::vector<std::string>& arguments) {
+  merlinrun::relay::Config config;
+  if (!merlinrun::relay::ParseOptions(arguments, config)) return 0;
+  boost::asio::io_context io(1);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&io](const boost::system::error_code& error, int) {
+    if (!error) io.stop();
+  });
+  std::optional<Relay> relay;
+  try {
+    relay.emplace(io, config);
+  } catch (const boost::system::system_error& error) {
+    std::fprintf(stderr, "rookhub_relay: cannot listen: %s\n", error.what());
+    return 1;
+  }
+  RunToTheEnd(io);
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);  // a peer that has left is an error of the write, not the end
+  spdlog::set_default_logger(spdlog::stderr_logger_st("relay"));
+  try {
+    return Serve(std::vector<std::string>(argv + 1, argv + argc));
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "rookhub_relay: %s\n", error.what());
+    return 2;
+  }
+}
