--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -12,7 +12,7 @@
     : feed_(io, config.history, config.batch, [this] { server_.TellAll(); }),
       state_(io, config.state, feed_.store()),
       server_(io, config.listen, config.limits, feed_,
-              {[this] { return Status(); }, [this] { return heard_; }}),
+              {[this] { return Status(); }, [this] { return HeardOut(); }}),
       upstream_(io, config.upstream, no_names_, {}, config.seed,
                 {[](const net::EndpointList&) {}, [this](std::optional<Micros>) { OnFailed(); },
                  [this](const nlohmann::json& object) { OnObject(object); }, [this] { OnHeard(); }}),
@@ -38,7 +38,9 @@
 
 void Relay::OnHeard() {
   last_heard_ = Clock::now();
-  if (!std::exchange(heard_, true) && heard_log_.Due()) spdlog::info("upstream: heard");
+  if (std::exchange(heard_, true)) return;
+  heard_since_ = last_heard_;
+  if (heard_log_.Due()) spdlog::info("upstream: heard");
 }
 
 void Relay::OnFailed() {
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -45,6 +45,8 @@
  private:
   using Clock = std::chrono::steady_clock;
 
+  static constexpr std::chrono::seconds kFirstWords{2};
+
   // A kind of line on the log, at most once a second.
   class Seldom {
    public:
@@ -59,6 +61,8 @@
     Clock::time_point next_;
   };
 
+  // Heard for so long that what the upstream told first has come whole.
+  bool HeardOut() const { return heard_ && Clock::now() - heard_since_ >= kFirstWords; }
   void OnObject(const nlohmann::json& object);
   void OnHeard();
   void OnFailed();
@@ -69,6 +73,7 @@
   const drill::WireSettings no_names_;  // zones and the like are passed on as they are
   net::Discovery upstream_;
   bool heard_ = false;  // since the last call's end
+  Clock::time_point heard_since_;
   Clock::time_point last_heard_;
   Seldom heard_log_;
   Seldom lost_log_;
--- a/relay/server.cpp
+++ b/relay/server.cpp
@@ -134,7 +134,7 @@
   admission_.Expire();
   // By the schedule, so that a slot's turn comes every 2 s; a process that stood still begins a new one.
   next_tick_ += kTick;
-  if (Clock::now() - next_tick_ > kTick * kSlots) next_tick_ = Clock::now();
+  if (Clock::now() - next_tick_ > kRound) next_tick_ = Clock::now();
   ScheduleTick();
 }
 
--- a/relay/server.hpp
+++ b/relay/server.hpp
@@ -46,7 +46,7 @@
   };
   struct Asks {
     std::function<std::string()> status;   // JSON
-    std::function<bool()> upstream_heard;  // whether the upstream is connected now
+    std::function<bool()> upstream_heard;  // whether the upstream has been heard out: what it has is here
   };
 
   // Throws boost::system::system_error if an address cannot be listened on.
@@ -81,8 +81,10 @@
 
  private:
   // Blank lines are due every 2 s, a twentieth of the watches at a time.
-  static constexpr std::size_t kSlots = 20;
+  static constexpr std::chrono::milliseconds kRound{2000};
   static constexpr std::chrono::milliseconds kTick{100};
+  static constexpr std::size_t kSlots = 20;
+  static_assert(kRound / kTick == kSlots);
 
   struct Door;
   struct Deadline {
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -184,6 +184,22 @@
   EXPECT_EQ(Objects(*lost)[0].at("generation"), 44);
 }
 
+// Guards against a clock of blank lines that runs ahead, as it did when a time was compared without its sign.
+TEST_F(RelayTest, AQuietWatchHasABlankLineEveryTwoSecondsAndNoMore) {
+  Start();
+  const auto watch = Call(WatchFrom(41));
+  const auto blank_lines = [&] {
+    int count = 0;
+    for (std::size_t at = watch->received.find(kBlankChunk); at != std::string::npos;
+         at = watch->received.find(kBlankChunk, at + 1))
+      ++count;
+    return count;
+  };
+  const auto begun = std::chrono::steady_clock::now();
+  ASSERT_TRUE(RunUntil(io, [&] { return blank_lines() >= 2; }));
+  EXPECT_LE(blank_lines(), (std::chrono::steady_clock::now() - begun) / 2s + 1);
+}
+
 TEST_F(RelayTest, ASlowReaderGetsOneCompactedDeltaAndNoQueue) {
   config.limits.send_buffer = 8 * 1024;
   Start();
