Measure the fan-out tier against discovery alone: single changes, bursts, restarts

The step fan_out puts hollow sidecars on discovery itself or on so many relay processes, and reads what both tiers write and take, and when changes are in force. Sidecars of a rig can be sent to other addresses than discovery's. The scale tests were not run with it.

--- a/scale/discovery_rig.hpp
+++ b/scale/discovery_rig.hpp
@@ -43,6 +43,10 @@
 
   static Needs Requires(const Options& options, std::int64_t sidecars);
 
+  // Where discovery listens, by region, and where sidecars that are added from now on ask instead.
+  const std::vector<std::string>& addresses() const { return addresses_; }
+  void Serve(std::vector<std::string> addresses) { addresses_ = std::move(addresses); }
+
   // Starts so many hollow sidecars, spread over all fleets and regions, or in one region.
   void Add(std::int64_t sidecars, std::int64_t region = kAllRegions);
   void End(std::int64_t region);
--- a/scale/steps.cpp
+++ b/scale/steps.cpp
@@ -1,4 +1,5 @@
 #include "discovery_steps.hpp"
+#include "fan_out.hpp"
 #include "step.hpp"
 
 namespace merlinrun::scale {
@@ -7,6 +8,7 @@
   static const std::map<std::string, StepFactory> kinds = {
       {"change_rate", MakeChangeRate},
       {"change_size", MakeChangeSize},
+      {"fan_out", MakeFanOut},
       {"list_size", MakeListSize},
       {"play_discovery_restart", MakePlayDiscoveryRestart},
       {"play_region_cut", MakePlayRegionCut},
