--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -47,7 +47,7 @@
                  {[this](const net::EndpointList& list) {
                     OnList(list.whole ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
                   },
-                  [this](std::optional<Micros> within) { OnDiscoveryFailed(within); }}) {
+                  [this](Micros within) { OnDiscoveryFailed(within); }}) {
   std::string error;
   balancer_ = Balancer::Create(settings.settings, seed, Now(), *this, error);
   if (balancer_ == nullptr) throw std::runtime_error("settings: " + error);
@@ -88,7 +88,7 @@
   log_.Note(std::exchange(generation_, list.generation), list.generation, at);
 }
 
-void HollowSidecar::OnDiscoveryFailed(std::optional<Micros> within) {
+void HollowSidecar::OnDiscoveryFailed(Micros within) {
   if (!settings_.settings.must_subscribe) return;
   ListUpdate update{ListUpdate::Kind::kFailed, 0, {}};
   update.ask_within = within;
--- a/scale/hollow.hpp
+++ b/scale/hollow.hpp
@@ -58,7 +58,7 @@
 
   Micros Now() const;
   void OnList(ListUpdate::Kind kind, const net::EndpointList& list);
-  void OnDiscoveryFailed(std::optional<Micros> within);
+  void OnDiscoveryFailed(Micros within);
 
   boost::asio::io_context& io_;
   const drill::WireSettings& settings_;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -229,6 +229,7 @@
       owner_->binds_.reset();
       owner_->current_until_ = Clock::now();
     }
+    if (owner_ != nullptr && owner_->events_.on_heard) owner_->events_.on_heard();
     for (const char c : std::string_view(piece_.data(), piece_.size() - parser_.get().body().size)) {
       if (owner_ == nullptr) return;
       if (!objects_.Take(c)) return End("no JSON", true);
@@ -345,6 +346,7 @@
   complained_ = false;
   generation_ = list->generation;
   binds_.reset();
+  if (events_.on_object) events_.on_object(json);
   events_.on_list(*list);
 }
 
