--- /dev/null
+++ b/scale/latency.cpp
@@ -0,0 +1,42 @@
+#include "latency.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace merlinrun::scale {
+namespace {
+
+constexpr double kLeastUs = 1;
+constexpr double kMostUs = 1e9;
+constexpr unsigned kBins = 4200;  // ln(1e9) / 4200: 0.49% a bin
+
+}  // namespace
+
+LatencyHistogram::LatencyHistogram()
+    : histogram_(boost::histogram::make_histogram(Axis(kBins, kLeastUs, kMostUs))) {}
+
+void LatencyHistogram::Add(std::chrono::nanoseconds latency) {
+  const double us = static_cast<double>(latency.count()) / 1000.0;
+  histogram_(std::clamp(us, kLeastUs, std::nextafter(kMostUs, 0.0)));
+  ++count_;
+}
+
+LatencyHistogram& LatencyHistogram::operator+=(const LatencyHistogram& other) {
+  histogram_ += other.histogram_;
+  count_ += other.count_;
+  return *this;
+}
+
+double LatencyHistogram::QuantileMs(double share) const {
+  if (count_ == 0) return std::numeric_limits<double>::quiet_NaN();
+  const double rank = std::max(1.0, std::ceil(share * static_cast<double>(count_)));
+  double below = 0;
+  for (int bin = 0; bin < static_cast<int>(kBins); ++bin) {
+    below += static_cast<double>(histogram_.at(bin));
+    if (below >= rank) return histogram_.axis().bin(bin).center() / 1000.0;
+  }
+  return kMostUs / 1000.0;
+}
+
+}  // namespace merlinrun::scale
