--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -8,6 +8,7 @@
 #include <exception>
 
 #include "scale/commands.hpp"
+#include "scale/run_as_child.hpp"
 #include "scale/step.hpp"
 
 namespace {
@@ -27,6 +28,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  int status = 0;
+  if (merlinrun::scale::RunAsChild(argc, argv, status)) return status;
   try {
     for (const int signal : {SIGINT, SIGTERM, SIGHUP}) Handle(signal, AskStop);
     // The end of whoever reads the log must not end the run with its folder left behind. A handler, and not
--- /dev/null
+++ b/scale/paired_run.cpp
@@ -0,0 +1,119 @@
+#include "paired_run.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
+#include "loop.hpp"
+
+namespace merlinrun::scale {
+namespace {
+
+constexpr double kMostUnserved = 0.001;  // of the calls of either way
+constexpr auto kAfterStart = std::chrono::milliseconds(500);
+// From when the last call was due to its end: a machine that stalls for longer gives no reading.
+constexpr auto kLongestRest = std::chrono::seconds(30);
+
+struct Quantile {
+  const char* name;
+  double share;
+};
+constexpr Quantile kQuantiles[] = {{"p50", 0.5}, {"p99", 0.99}, {"p999", 0.999}};
+
+// One turn, to the end of its last call.
+void Play(net::asio::io_context& io, Caller& caller, std::chrono::duration<double> length) {
+  const auto time = std::chrono::duration_cast<std::chrono::nanoseconds>(length);
+  caller.Start(time);
+  if (!RunUntil(
+          io, [&] { return caller.done(); }, time + kLongestRest))
+    throw std::runtime_error("calls did not end in time");
+}
+
+// Microseconds a second, once what belongs to the start is over.
+double IdleCpu(net::asio::io_context& io, std::chrono::duration<double> length,
+               const std::function<std::int64_t()>& cpu_us) {
+  RunFor(io, kAfterStart);
+  const Clock::time_point start = Clock::now();
+  const std::int64_t before = cpu_us();
+  RunFor(io, std::chrono::duration_cast<std::chrono::nanoseconds>(length));
+  return static_cast<double>(cpu_us() - before) / std::chrono::duration<double>(Clock::now() - start).count();
+}
+
+}  // namespace
+
+void CheckServed(const std::string& way, const CallCounts& counts) {
+  const auto unserved = static_cast<double>(counts.sent - counts.served);
+  if (counts.sent > 0 && unserved <= kMostUnserved * static_cast<double>(counts.sent)) return;
+  throw std::runtime_error(way + ": of " + std::to_string(counts.sent) + " calls " +
+                           std::to_string(counts.refused) + " were refused, " +
+                           std::to_string(counts.failed) + " failed and " +
+                           std::to_string(counts.unanswered) + " were not answered");
+}
+
+PairedPlan PairedPlan::Read(Parameters& parameters) {
+  PairedPlan plan;
+  plan.slice = std::chrono::duration<double>(parameters.Number("slice_s", 2, 0.1, 60));
+  plan.idle = std::chrono::duration<double>(parameters.Number("idle_s", 6, 0.1, 600));
+  plan.calls = parameters.Integer("calls_per_reading", 2000, 20, 1'000'000);
+  return plan;
+}
+
+int PairedPlan::Turns(double calls_per_s) const {
+  return std::max(2, static_cast<int>(std::ceil(static_cast<double>(calls) / (calls_per_s * slice.count()))));
+}
+
+double PairedResult::cpu_us_per_call() const {
+  return (static_cast<double>(cpu_us) - idle_cpu_us_per_s * time.count()) /
+         static_cast<double>(through.counts.sent);
+}
+
+std::map<std::string, double> PairedResult::LatencyFigures() const {
+  std::map<std::string, double> figures;
+  const double calls = static_cast<double>(std::min(direct.latency.count(), through.latency.count()));
+  for (const auto& [name, share] : kQuantiles) {
+    if (calls * (1 - share) < 10) continue;
+    const double without = direct.latency.QuantileMs(share);
+    const double with = through.latency.QuantileMs(share);
+    const std::string unit = std::string(name) + "_ms";
+    figures["added_" + unit] = with - without;
+    figures["direct_" + unit] = without;
+    figures["through_" + unit] = with;
+    figures[std::string("ratio_") + name] = with / without;
+    figures["caller_late_" + unit] =
+        std::max(direct.lateness.QuantileMs(share), through.lateness.QuantileMs(share));
+  }
+  figures["calls"] = static_cast<double>(through.counts.sent);
+  figures["unserved_calls"] = static_cast<double>(through.counts.sent - through.counts.served);
+  return figures;
+}
+
+PairedResult RunPaired(net::asio::io_context& io, const std::vector<net::Tcp::endpoint>& direct,
+                       const std::vector<net::Tcp::endpoint>& through, const CallerSettings& settings,
+                       const PairedPlan& plan, const std::function<std::int64_t()>& cpu_us,
+                       const std::function<bool()>& should_stop) {
+  PairedResult result;
+  result.idle_cpu_us_per_s = IdleCpu(io, plan.idle, cpu_us);
+  Caller without(io, direct, settings);
+  Caller with(io, through, settings);
+  // Connections and what is learnt of the servers come up first.
+  for (Caller* const caller : {&without, &with}) {
+    Play(io, *caller, std::max(plan.slice, std::chrono::duration<double>(10 / settings.calls_per_s)));
+    caller->Take();
+  }
+  const Clock::time_point start = Clock::now();
+  const std::int64_t before = cpu_us();
+  for (int turn = 0; turn < plan.Turns(settings.calls_per_s) && !should_stop(); ++turn) {
+    Play(io, without, plan.slice);
+    Play(io, with, plan.slice);
+  }
+  result.cpu_us = cpu_us() - before;
+  result.time = Clock::now() - start;
+  result.direct = without.Take();
+  result.through = with.Take();
+  if (should_stop()) return result;
+  CheckServed("directly", result.direct.counts);
+  CheckServed("through sidecars", result.through.counts);
+  return result;
+}
+
+}  // namespace merlinrun::scale
--- /dev/null
+++ b/tests/scale/real_steps_test.cpp
@@ -0,0 +1,191 @@
+// The steps on real sidecars, at their smallest: what they record, and that they stop.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cmath>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "scale/loop.hpp"
+#include "scale/paired_run.hpp"
+#include "scale/real_sidecar.hpp"
+#include "scale/service.hpp"
+#include "scale/step.hpp"
+
+namespace merlinrun::scale {
+namespace {
+
+namespace asio = net::asio;
+
+class Kept : public Recorder {
+ public:
+  void Add(Sample sample) override { samples.push_back(std::move(sample)); }
+  std::vector<Sample> samples;
+};
+
+// What is not set has its standard value.
+class GivenParameters : public Parameters {
+ public:
+  explicit GivenParameters(std::map<std::string, double> numbers, std::vector<std::int64_t> sizes)
+      : numbers_(std::move(numbers)), sizes_(std::move(sizes)) {}
+  std::int64_t Integer(const std::string& key, std::int64_t standard, std::int64_t, std::int64_t) override {
+    return static_cast<std::int64_t>(Number(key, static_cast<double>(standard), 0, 0));
+  }
+  double Number(const std::string& key, double standard, double, double) override {
+    const auto it = numbers_.find(key);
+    return it == numbers_.end() ? standard : it->second;
+  }
+  bool Flag(const std::string&, bool standard) override { return standard; }
+  std::string Word(const std::string&, const std::string& standard) override { return standard; }
+  std::vector<std::int64_t> Integers(const std::string&, const std::vector<std::int64_t>&, std::int64_t,
+                                     std::int64_t) override {
+    return sizes_;
+  }
+  void Reject(const std::string& key, const std::string& reason) const override {
+    throw ScenarioError(key + ": " + reason);
+  }
+
+ private:
+  std::map<std::string, double> numbers_;
+  std::vector<std::int64_t> sizes_;
+};
+
+class RealStepsTest : public ::testing::Test {
+ protected:
+  RealStepsTest() {
+    std::string name = (std::filesystem::temp_directory_path() / "rookhub-real-XXXXXX").string();
+    scratch = ::mkdtemp(name.data());
+  }
+  ~RealStepsTest() override { std::filesystem::remove_all(scratch); }
+
+  std::vector<Sample> Play(const std::string& kind, std::map<std::string, double> numbers,
+                           std::vector<std::int64_t> sizes) {
+    GivenParameters parameters(std::move(numbers), std::move(sizes));
+    const std::unique_ptr<Step> step = StepKinds().at(kind)(parameters);
+    EXPECT_GT(step->Requires().descriptors, 0u);
+    EXPECT_GT(step->Requires().processes, 0u);
+    Kept kept;
+    Context context{kept, 7, 1, FENNELHOLLOW_PROGRAM, {}, scratch, [this] { return stop; }};
+    step->Run(context);
+    return kept.samples;
+  }
+  // Quantiles of few calls are left out, and so are not among these.
+  static void ExpectFigures(const Sample& sample, const std::vector<std::string>& names) {
+    for (const std::string& name : names) EXPECT_EQ(sample.figures.count(name), 1u) << name;
+    for (const auto& [name, value] : sample.figures) EXPECT_TRUE(std::isfinite(value)) << name;
+  }
+
+  std::filesystem::path scratch;
+  bool stop = false;
+};
+
+TEST_F(RealStepsTest, CallRatePassesAllCallsThroughTheSidecar) {
+  const auto samples = Play(
+      "call_rate", {{"slice_s", 0.2}, {"idle_s", 0.1}, {"calls_per_reading", 40}, {"servers", 3}}, {50, 100});
+  ASSERT_EQ(samples.size(), 2u);
+  EXPECT_EQ(samples[0].conditions, (std::map<std::string, double>{{"calls_per_s", 50}}));
+  for (const Sample& sample : samples) {
+    ExpectFigures(sample, {"cpu_us_per_call", "idle_cpu_us_per_s", "memory_mb", "added_p50_ms", "ratio_p50"});
+    EXPECT_EQ(sample.figures.count("added_p999_ms"), 0u);
+    EXPECT_EQ(sample.figures.at("unserved_calls"), 0);
+    EXPECT_GT(sample.figures.at("cpu_us_per_call"), 0);
+  }
+}
+
+TEST_F(RealStepsTest, ChainsOfSidecarsServeAllCalls) {
+  const auto samples = Play(
+      "chain", {{"slice_s", 0.2}, {"idle_s", 0.1}, {"calls_per_reading", 40}, {"calls_per_s", 100}}, {1, 3});
+  ASSERT_EQ(samples.size(), 2u);
+  EXPECT_EQ(samples[1].conditions, (std::map<std::string, double>{{"depth", 3}}));
+  for (const Sample& sample : samples) {
+    ExpectFigures(sample, {"added_p50_ms", "direct_p50_ms", "cpu_us_per_call"});
+    EXPECT_EQ(sample.figures.at("unserved_calls"), 0);
+  }
+}
+
+TEST_F(RealStepsTest, HollowAndRealSidecarsAreReadAlike) {
+  const auto samples = Play("hollow_and_real", {{"idle_s", 0.2}, {"changes", 4}, {"hollow", 2}}, {50});
+  ASSERT_EQ(samples.size(), 2u);
+  EXPECT_EQ(samples[0].conditions, (std::map<std::string, double>{{"listed", 50}, {"real", 0}}));
+  EXPECT_EQ(samples[1].conditions, (std::map<std::string, double>{{"listed", 50}, {"real", 1}}));
+  for (const Sample& sample : samples)
+    ExpectFigures(sample, {"memory_bytes_per_sidecar", "start_cpu_us", "start_bytes_in", "cpu_us_per_change",
+                           "idle_cpu_us_per_s"});
+  EXPECT_GT(samples[0].figures.at("start_bytes_in"), 50 * 100);  // over a hundred bytes for each server
+  EXPECT_GT(samples[1].figures.at("start_bytes_in"), 50 * 100);
+}
+
+TEST_F(RealStepsTest, SidecarsAreLoadedAllAtOnce) {
+  const auto samples = Play("sidecars", {{"load_s", 0.5}, {"servers", 3}, {"calls_per_s", 40}}, {1, 3});
+  ASSERT_EQ(samples.size(), 2u);
+  ExpectFigures(samples[1], {"memory_bytes_per_sidecar", "cpu_us_per_s_per_sidecar"});
+  EXPECT_EQ(samples[1].figures.at("unserved_calls"), 0);
+  EXPECT_GT(samples[1].figures.at("calls"), samples[0].figures.at("calls"));
+}
+
+TEST_F(RealStepsTest, AnInterruptedStepRecordsNoHalfReading) {
+  stop = true;
+  for (const char* kind : {"call_rate", "chain", "hollow_and_real", "sidecars"})
+    EXPECT_TRUE(Play(kind, {}, {10}).empty()) << kind;
+}
+
+// Calls go to the servers that discovery lists, through the sidecar alone.
+TEST_F(RealStepsTest, ASidecarPassesCallsOnToSeveralServersOfItsService) {
+  asio::io_context io(1);
+  const Service service(io, Alike({}, 4));
+  RealSidecar sidecar({FENNELHOLLOW_PROGRAM, scratch, "n0", service.discovery(), 1});
+  sidecar.AwaitReady(io);
+  CallerSettings settings;
+  settings.poisson = false;
+  settings.calls_per_s = 200;
+  Caller caller(io, {sidecar.address()}, settings);
+  caller.Start(std::chrono::milliseconds(502));
+  ASSERT_TRUE(RunUntil(
+      io, [&] { return caller.done(); }, std::chrono::seconds(20)));
+  EXPECT_EQ(caller.results().counts.served, 100u);
+  std::uint64_t served = 0;
+  int used = 0;
+  for (const auto& server : service.servers()) {
+    used += server->counts().served > 0 ? 1 : 0;
+    EXPECT_EQ(server->counts().invalid, 0u);
+    served += server->counts().served;
+  }
+  EXPECT_GE(served, 100u);
+  EXPECT_GT(used, 1);
+}
+
+TEST_F(RealStepsTest, ASidecarThatDoesNotStartIsAnError) {
+  asio::io_context io(1);
+  RealSidecar sidecar({"/nonexistent", scratch, "n0", {asio::ip::make_address("127.0.0.1"), 1}, 1});
+  EXPECT_THROW(sidecar.AwaitReady(io), std::runtime_error);
+}
+
+TEST(PairedRunTest, CallsThatFailVoidTheReading) {
+  asio::io_context io(1);
+  Service service(io, Alike({}, 2));
+  service.servers().front()->Drain();
+  CallerSettings settings;
+  settings.calls_per_s = 100;
+  PairedPlan plan;
+  plan.slice = std::chrono::milliseconds(200);
+  plan.idle = std::chrono::milliseconds(100);
+  plan.calls = 20;
+  EXPECT_THROW(RunPaired(
+                   io, service.addresses(), service.addresses(), settings, plan, [] { return 0; },
+                   [] { return false; }),
+               std::runtime_error);
+}
+
+TEST(PairedRunTest, TurnsHoldTheCallsThatAReadingNeeds) {
+  PairedPlan plan;
+  plan.slice = std::chrono::seconds(2);
+  plan.calls = 1000;
+  EXPECT_EQ(plan.Turns(10), 50);
+  EXPECT_EQ(plan.Turns(1000), 2);
+}
+
+}  // namespace
+}  // namespace merlinrun::scale
