--- a/scale/steps.cpp
+++ b/scale/steps.cpp
@@ -1,5 +1,6 @@
 #include "call_rate.hpp"
 #include "chain.hpp"
+#include "discovery_steps.hpp"
 #include "hollow_and_real.hpp"
 #include "sidecars.hpp"
 #include "step.hpp"
@@ -10,8 +11,18 @@
   static const std::map<std::string, StepFactory> kinds = {
       {"call_rate", MakeCallRate},
       {"chain", MakeChain},
+      {"change_rate", MakeChangeRate},
+      {"change_size", MakeChangeSize},
       {"hollow_and_real", MakeHollowAndReal},
+      {"list_size", MakeListSize},
+      {"play_discovery_restart", MakePlayDiscoveryRestart},
+      {"play_region_cut", MakePlayRegionCut},
+      {"play_region_restart", MakePlayRegionRestart},
+      {"play_rollout", MakePlayRollout},
+      {"play_steady", MakePlaySteady},
+      {"play_zone", MakePlayZone},
       {"sidecars", MakeSidecars},
+      {"watches", MakeWatches},
   };
   return kinds;
 }
