--- a/scale/server_list.cpp
+++ b/scale/server_list.cpp
@@ -44,12 +44,12 @@
   return servers;
 }
 
-drill::WireSettings MakeSettings(bool must_subscribe) {
+nlohmann::json MakeSettingsJson(bool must_subscribe) {
   nlohmann::json zones = nlohmann::json::array();
   for (int i = 0; i < kZones; ++i) zones.push_back(Zone(i));
   nlohmann::json machines = nlohmann::json::array();
   for (int i = 1; i <= 4; ++i) machines.push_back(Machine(i));
-  const nlohmann::json settings = {
+  return {
       {"allowed",
        {{"cancel", true},
         {"conn_idle_us", 60'000'000},
@@ -76,7 +76,10 @@
       {"telemetry", {{"via", "answers"}, {"fields", {"pending", "cpu_share"}}}},
       {"weights", "nominal"},
       {"tenants", nlohmann::json::array()}};
-  return drill::ParseSettings(net::Flatten(settings));
+}
+
+drill::WireSettings MakeSettings(bool must_subscribe) {
+  return drill::ParseSettings(net::Flatten(MakeSettingsJson(must_subscribe)));
 }
 
 }  // namespace merlinrun::scale
--- a/scale/server_list.hpp
+++ b/scale/server_list.hpp
@@ -3,6 +3,7 @@
 #define MERLINRUN_SCALE_SERVER_LIST_HPP_
 
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -18,7 +19,9 @@
                  std::int64_t started_at_ms = 0);
 std::vector<Entry> MakeServers(std::int64_t count);
 
-// What every sidecar of the deployment is told. If `must_subscribe`, its module decides when to ask.
+// What every sidecar of the deployment is told, as its configuration has it and as it reads it. If
+// `must_subscribe`, its module decides when to ask.
+nlohmann::json MakeSettingsJson(bool must_subscribe);
 drill::WireSettings MakeSettings(bool must_subscribe);
 
 }  // namespace merlinrun::scale
