--- a/scale/fan_out.cpp
+++ b/scale/fan_out.cpp
@@ -1,6 +1,7 @@
 #include "fan_out.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,6 +16,7 @@
 namespace {
 
 using Figures = std::map<std::string, double>;
+using Clock = std::chrono::steady_clock;
 
 // A reading of what both tiers have done since their start.
 struct Reading {
@@ -150,11 +152,14 @@
     void PlayBurst() {
       const Reading before = Read();
       const auto first = before.upstream.at("generation").get<std::int64_t>();
+      const auto begin = Clock::now();
       for (std::int64_t i = 0; i < step_.burst_; ++i) {
         Change(step_.changes_ + i);
         rig_.Pass(step_.burst_s_ / static_cast<double>(step_.burst_));
       }
+      const std::chrono::duration<double, std::milli> told = Clock::now() - begin;
       rig_.AwaitForce(generation_);
+      const std::chrono::duration<double, std::milli> all = Clock::now() - begin;
       const Reading after = Read();
       const auto per_watch = static_cast<double>(watches_);
       Figures figures = {{"upstream_bytes", UpstreamTook(before, after, "bytes_out")},
@@ -164,7 +169,10 @@
                                                  per_watch},
                          {"objects_per_watch", (tier_ ? RelayGain(before, after, "objects")
                                                       : Gain(before.upstream, after.upstream, "objects")) /
-                                                   per_watch}};
+                                                   per_watch},
+                         // Changes wait for a discovery that is busy, which their own times do not show.
+                         {"told_within_ms", told.count()},
+                         {"all_in_force_within_ms", all.count()}};
       if (tier_) figures["relay_cpu_us"] = RelaysTook(before, after, "cpu_us");
       AddSpread("in_force", rig_.Force(rig_.ChangesSince(first)), figures);
       Record("fan_out_burst", std::move(figures));
--- /dev/null
+++ b/tests/scale/smoke_test.cpp
@@ -0,0 +1,90 @@
+// The smoke scenario through the program itself: every kind of step once, with nothing lost on the way.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <map>
+#include <string>
+
+#include "scale/child.hpp"
+#include "scale/results.hpp"
+
+namespace merlinrun::scale {
+namespace {
+
+class Folder {
+ public:
+  Folder() {
+    std::string name = (std::filesystem::temp_directory_path() / "rookhub-smoke-XXXXXX").string();
+    if (::mkdtemp(name.data()) != nullptr) path_ = name;
+  }
+  ~Folder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  const std::filesystem::path& path() const { return path_; }
+
+ private:
+  std::filesystem::path path_;
+};
+
+TEST(Smoke, EveryKindOfStepIsPlayedAndNothingIsLost) {
+  const Folder folder;
+  ASSERT_FALSE(folder.path().empty());
+  Child::Options options;
+  options.program = ROOKHUB_SCALE_PROGRAM;
+  options.arguments = {"run",       SMOKE_SCENARIO,       "--out",   folder.path() / "result",
+                       "--sidecar", FENNELHOLLOW_PROGRAM, "--relay", ROOKHUB_RELAY_PROGRAM};
+  Child run(options);
+  const auto status = run.Wait(std::chrono::minutes(10));  // so long only where all is slow
+  ASSERT_TRUE(status.has_value());
+  ASSERT_TRUE(WIFEXITED(*status));
+  EXPECT_EQ(WEXITSTATUS(*status), 0);
+
+  const Result result = ReadResult(folder.path() / "result");
+  EXPECT_FALSE(result.partial);
+  std::map<std::string, int> samples;
+  for (const Sample& sample : result.samples) {
+    ++samples[sample.measure];
+    const auto is = [&](const char* figure, double value) {
+      const auto at = sample.figures.find(figure);
+      if (at == sample.figures.end()) return;
+      EXPECT_EQ(at->second, value) << sample.measure << ", " << figure;
+    };
+    is("unserved_calls", 0);
+    is("refused", 0);
+    is("relay_refused", 0);
+    const auto relays = sample.conditions.find("relays");
+    if (sample.measure == "fan_out") {
+      is("upstream_watches", relays->second > 0 ? relays->second : sample.conditions.at("watches"));
+    }
+    if (sample.measure == "fan_out_restart" && relays->second > 0) is("upstream_calls", 0);
+    // Each change is in force at each sidecar, those that were started anew aside.
+    if (sample.measure.rfind("play_", 0) == 0 && sample.measure != "play_region_restart")
+      is("in_force_count", sample.figures.at("changes") * sample.conditions.at("sidecars"));
+  }
+  const std::map<std::string, int> expected = {{"list_size", 2},
+                                               {"change_size", 1},
+                                               {"watches", 2},
+                                               {"change_rate", 1},
+                                               {"fan_out", 2},
+                                               {"fan_out_burst", 2},
+                                               {"call_rate", 1},
+                                               {"fan_out_restart", 2},
+                                               {"hollow_and_real", 2},
+                                               {"chain", 2},
+                                               {"sidecars", 1},
+                                               {"play_steady", 1},
+                                               {"play_zone", 1},
+                                               {"play_rollout", 1},
+                                               {"play_region_cut", 1},
+                                               {"play_region_restart", 1},
+                                               {"play_discovery_restart", 1}};
+  EXPECT_EQ(samples, expected);
+}
+
+}  // namespace
+}  // namespace merlinrun::scale
