--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -56,6 +56,10 @@
     // The watch ended or never opened. Discovery has to be asked again within this time, in microseconds, as
     // news binds then whether it is heard or not.
     std::function<void(Micros within)> on_failed;
+    // Optional: an object that has been accepted, as it came, right before `on_list`.
+    std::function<void(const nlohmann::json&)> on_object{};
+    // Optional: a sign of life of a call, blank lines too.
+    std::function<void()> on_heard{};
   };
 
   Discovery(asio::io_context& io, Tcp::endpoint address, const drill::WireSettings& names, Timing timing,
