--- a/scale/capacity_tables.cpp
+++ b/scale/capacity_tables.cpp
@@ -42,18 +42,15 @@
   for (const FittedRun& run : runs) {
     const std::string name = run.result.partial ? run.name + ", partial" : run.name;
     for (const auto& [series_name, series] : run.series) {
+      if (!series.line) continue;  // too few sizes: no slope
       std::vector<std::string> sizes;
       for (const double size : series.sizes) sizes.push_back(Short(size));
       std::vector<std::string> cells = {ToString(series_name), name};
-      if (series.line) {
-        cells.insert(cells.end(),
-                     {Short(series.line->slope), Short(series.line->intercept), Short(series.theil_sen)});
-      } else {
-        cells.insert(cells.end(), {"too few sizes", "-", "-"});
-      }
+      cells.insert(cells.end(),
+                   {Short(series.line->slope), Short(series.line->intercept), Short(series.theil_sen)});
       cells.insert(cells.end(), {boost::join(sizes, ", "), series.TwoDecades() ? "yes" : "no"});
-      cells.push_back(series.line ? Percent(series.residual_rms) : "-");
-      cells.push_back(series.line ? Percent(series.residual_largest) : "-");
+      cells.push_back(Percent(series.residual_rms));
+      cells.push_back(Percent(series.residual_largest));
       cells.push_back(Percent(series.spread));
       cells.push_back(ShortOrDash(series.exponent));
       cells.push_back(ShortOrDash(series.increase_exponent));
