--- a/scale/capacity.cpp
+++ b/scale/capacity.cpp
@@ -64,7 +64,7 @@
 // The values of one row's names, and what they rest on.
 class Names {
  public:
-  Names(const std::map<std::string, double>& values, const Roles& roles, const std::vector<FittedRun>& runs)
+  Names(const std::map<std::string, double>& values, const Roles& roles, std::span<const FittedRun> runs)
       : values_(values), roles_(roles), runs_(runs) {}
 
   double Value(const std::string& formula) {
@@ -81,6 +81,7 @@
 
   void Fill(Demand& demand) const {
     demand.rests_on = rests_on_;
+    demand.series = series_;
     demand.past = past_;
     demand.past_unknown = !bare_.empty();
   }
@@ -130,6 +131,7 @@
     std::string missing = name + " was not measured";
     for (const FittedRun& run : runs_) {
       const Series* found = nullptr;
+      const SeriesName* found_name = nullptr;
       for (const auto& [series_name, series] : run.series) {
         const bool same = series_name.measure == wanted.parts[0] && series_name.figure == wanted.parts[1] &&
                           series_name.condition == wanted.parts[2];
@@ -138,9 +140,11 @@
         if (!series.line) continue;
         if (found != nullptr) throw FormulaError(name + " names several series: choose by [name=value]");
         found = &series;
+        found_name = &series_name;
       }
       if (found == nullptr) continue;
       rests_on_.insert(name + " (" + RunName(run) + ")");
+      series_.insert(*found_name);
       return OfLine(name, wanted.kind, *found, argument);
     }
     throw FormulaError(missing);
@@ -167,9 +171,10 @@
 
   const std::map<std::string, double>& values_;
   const Roles& roles_;
-  const std::vector<FittedRun>& runs_;
+  std::span<const FittedRun> runs_;
   std::set<std::string> open_;  // named formulas in work
   std::set<std::string> rests_on_;
+  std::set<SeriesName> series_;
   std::vector<double> bare_;  // the largest size measured, for each slope without an argument
   std::optional<double> past_;
 };
@@ -195,8 +200,10 @@
       if (!row.at.empty()) names.UseBareSlopesAt(Names(values, roles_, runs_).Value(row.at));
       names.Fill(demand);
       key = ".budget";
-      demand.budget = Names(values, roles_, runs_).Value(row.budget);
-      if (demand.budget <= 0) throw FormulaError("must be above 0");
+      if (!row.budget.empty()) {
+        demand.budget = Names(values, roles_, runs_).Value(row.budget);
+        if (*demand.budget <= 0) throw FormulaError("must be above 0");
+      }
     } catch (const FormulaError& error) {
       RejectInput(roles_.file, row.key + key, error.what());
     }
@@ -205,4 +212,12 @@
   return demands;
 }
 
+std::optional<double> CapacityModel::DemandBy(const FittedRun& run, const RoleRow& row) const {
+  try {
+    return Names(targets_.values, roles_, std::span(&run, 1)).Value(row.formula);
+  } catch (const FormulaError&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace merlinrun::scale
--- a/scale/capacity.hpp
+++ b/scale/capacity.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -16,14 +17,16 @@
 struct Demand {
   const RoleRow* row = nullptr;
   double demand = 0;
-  double budget = 0;
+  std::optional<double> budget;
   std::set<std::string> rests_on;  // measured names with their runs
+  std::set<SeriesName> series;     // the slopes among them
   // How often the largest size that a line or slope is used at holds the largest measured one: above 1 it is
   // extrapolated. None if no slope is in it.
   std::optional<double> past;
   bool past_unknown = false;  // a bare slope, in a row that does not say its size
 
-  double Factor() const { return demand / budget; }  // above 1: over the budget
+  // Above 1: over the budget. 0 where there is none, so that no such row is ever the worst.
+  double Factor() const { return budget ? demand / *budget : 0; }
 };
 
 // Names in formulas are the values of the targets file, the named formulas, and of what was measured, each
@@ -43,6 +46,9 @@
   // of a formula that has no value, or of a budget that is not above 0.
   std::vector<Demand> Demands(const std::map<std::string, double>& instead = {}) const;
 
+  // What a row's demand comes to by one of the runs alone; none if that run lacks a figure in it.
+  std::optional<double> DemandBy(const FittedRun& run, const RoleRow& row) const;
+
   const Targets& targets() const { return targets_; }
   const std::vector<FittedRun>& runs() const { return runs_; }
 
--- a/scale/capacity_input.cpp
+++ b/scale/capacity_input.cpp
@@ -75,7 +75,7 @@
       entry.Reject("when", "must be ordinary, worst or day");
     }
     row.formula = entry.Needed("formula");
-    row.budget = entry.Needed("budget");
+    row.budget = entry.Word("budget", "");
     row.at = entry.Word("at", "");
     row.mechanism = entry.Word("mechanism", "");
     entry.RejectUnusedKeys();
--- a/scale/capacity_input.hpp
+++ b/scale/capacity_input.hpp
@@ -29,7 +29,7 @@
   std::string unit;     // of demand and budget
   std::string when;     // "ordinary", "worst" (second) or "day"
   std::string formula;  // of the demand
-  std::string budget;   // a formula too
+  std::string budget;   // a formula too; empty where neither the target nor an assumption limits the figure
   std::string at;       // a formula of the size that bare slopes are used at; may be empty
   std::string mechanism;
 };
--- a/scale/capacity_tables.cpp
+++ b/scale/capacity_tables.cpp
@@ -22,7 +22,9 @@
   return Row(names) + Row(std::vector<std::string>(names.size(), "---"));
 }
 
-std::string Factor(double factor) { return Short(factor) + (factor > 1 ? " over" : " under"); }
+std::string FactorOf(double factor) { return Short(factor) + (factor > 1 ? " over" : " under"); }
+
+std::string FactorOf(const Demand& demand) { return demand.budget ? FactorOf(demand.Factor()) : "-"; }
 
 std::string Past(const Demand& demand) {
   if (demand.past_unknown) return "size not stated";
@@ -65,10 +67,11 @@
                            "formula", "extrapolated", "mechanism"});
   for (const Demand& demand : demands) {
     const RoleRow& row = *demand.row;
-    text += Row({row.role, row.figure, row.when, Short(demand.demand), Short(demand.budget), row.unit,
-                 Factor(demand.Factor()),
+    text += Row({row.role, row.figure, row.when, Short(demand.demand), ShortOrDash(demand.budget), row.unit,
+                 FactorOf(demand),
                  demand.rests_on.empty() ? "nothing measured" : boost::join(demand.rests_on, "; "),
-                 "`" + row.formula + "`", Past(demand), row.mechanism.empty() ? "missing" : row.mechanism});
+                 "`" + row.formula + "`", Past(demand),
+                 row.mechanism.empty() && demand.budget ? "missing" : row.mechanism});
   }
   return text;
 }
@@ -77,6 +80,7 @@
 std::string RankingTable(const std::vector<Demand>& demands) {
   std::map<std::string, const Demand*> worst;
   for (const Demand& demand : demands) {
+    if (!demand.budget) continue;
     const Demand*& known = worst[demand.row->role];
     if (known == nullptr || demand.Factor() > known->Factor()) known = &demand;
   }
@@ -89,15 +93,14 @@
   for (std::size_t i = 0; i < ranked.size(); ++i) {
     const RoleRow& row = *ranked[i]->row;
     text += Row({std::to_string(i + 1), row.role, row.figure, row.when, Short(ranked[i]->demand),
-                 Short(ranked[i]->budget), row.unit, Factor(ranked[i]->Factor())});
+                 ShortOrDash(ranked[i]->budget), row.unit, FactorOf(*ranked[i])});
   }
   return text;
 }
 
 std::string WorstCell(const std::vector<Demand>& demands) {
   const Demand& worst = Worst(demands);
-  return Factor(worst.Factor()) + " (" + worst.row->role + ", " + worst.row->figure + ", " + worst.row->when +
-         ")";
+  return FactorOf(worst) + " (" + worst.row->role + ", " + worst.row->figure + ", " + worst.row->when + ")";
 }
 
 // The row whose factor an assumption moves most, in ratio, and from where to where.
@@ -105,6 +108,7 @@
   std::size_t most = 0;
   double largest = 0;
   for (std::size_t i = 0; i < half.size(); ++i) {
+    if (!half[i].budget) continue;
     const double moved = std::abs(std::log(twice[i].Factor() / half[i].Factor()));
     if (moved > largest) {
       largest = moved;
@@ -130,6 +134,41 @@
   return text;
 }
 
+// The slopes of a row that a later run does not have within the first one's spread of repeats.
+std::string Outside(const Demand& demand, const FittedRun& first, const FittedRun& later) {
+  std::vector<std::string> outside;
+  for (const SeriesName& name : demand.series) {
+    const auto one = first.series.find(name);
+    const auto other = later.series.find(name);
+    if (one == first.series.end() || other == later.series.end()) continue;
+    if (!WithinSpread(one->second, other->second).value_or(true)) outside.push_back(ToString(name));
+  }
+  return outside.empty() ? "none" : boost::join(outside, "; ");
+}
+
+// How far the runs agree on what each row's demand comes to.
+std::string AgreementTable(const CapacityModel& model, const std::vector<Demand>& demands) {
+  const std::vector<FittedRun>& runs = model.runs();
+  if (runs.size() < 2) return "One result alone: nothing to compare.\n";
+  std::string text;
+  for (std::size_t later = 1; later < runs.size(); ++later) {
+    if (later > 1) text += "\n";
+    text += Head({"role", "figure", "when", "by " + runs[0].name, "by " + runs[later].name, "ratio",
+                  "slopes outside the first one's spread"});
+    for (const Demand& demand : demands) {
+      if (demand.rests_on.empty()) continue;
+      const RoleRow& row = *demand.row;
+      const auto first = model.DemandBy(runs[0], row);
+      const auto again = model.DemandBy(runs[later], row);
+      const bool both = first && again;
+      text += Row({row.role, row.figure, row.when, ShortOrDash(first), ShortOrDash(again),
+                   both && *first != 0 ? Short(*again / *first) : "-",
+                   both ? Outside(demand, runs[0], runs[later]) : "not in both"});
+    }
+  }
+  return text;
+}
+
 std::string Start(const std::string& name) { return "<!-- table " + name + " -->\n"; }
 std::string End(const std::string& name) { return "<!-- end " + name + " -->\n"; }
 
@@ -155,7 +194,8 @@
   return {{"slopes", SlopesTable(model.runs())},
           {"roles", RolesTable(demands)},
           {"ranking", RankingTable(demands)},
-          {"assumptions", AssumptionsTable(model, demands)}};
+          {"assumptions", AssumptionsTable(model, demands)},
+          {"agreement", AgreementTable(model, demands)}};
 }
 
 std::string Marked(const Table& table) { return Start(table.name) + table.text + End(table.name); }
--- a/scale/capacity_tables.hpp
+++ b/scale/capacity_tables.hpp
@@ -15,7 +15,7 @@
   std::string text;  // Markdown, with a line end at its end
 };
 
-// slopes, roles, ranking and assumptions, in this order.
+// slopes, roles, ranking, assumptions and agreement, in this order.
 std::vector<Table> CapacityTables(const CapacityModel& model);
 
 // A page's text with what stands between "<!-- table NAME -->" and "<!-- end NAME -->" replaced. Throws
--- a/tests/scale/capacity_test.cpp
+++ b/tests/scale/capacity_test.cpp
@@ -178,7 +178,7 @@
 
 TEST_F(ScaleCapacity, ChecksThePageToTheLastDigit) {
   std::string page = "Before\n";
-  for (const char* name : {"ranking", "slopes", "roles", "assumptions"}) {
+  for (const char* name : {"ranking", "slopes", "roles", "assumptions", "agreement"}) {
     page += std::string("<!-- table ") + name + " -->\n<!-- end " + name + " -->\nbetween\n";
   }
   const std::string file = bench.Write("page.md", page);
@@ -198,6 +198,46 @@
   EXPECT_EQ(Slurp(file), "none\n");
 }
 
+// What nothing limits is shown for its size, and is never the worst.
+TEST_F(ScaleCapacity, RanksNoFigureWithoutABudget) {
+  bench.Write("roles.toml", std::string(kRoles) + R"toml(
+[[row]]
+role = "sidecar"
+figure = "messages in"
+unit = "messages/s"
+when = "ordinary"
+formula = "servers * 1000"
+)toml");
+  ASSERT_EQ(Capacity(), 0) << bench.error;
+  Has("| sidecar | messages in | ordinary | 14000000 | - | messages/s | - | nothing measured |");
+  Has("| 1 | sidecar | memory | ordinary |");
+  Has("| 0.53 to 2.105 (sidecar, memory, ordinary) |");
+}
+
+TEST_F(ScaleCapacity, ShowsHowFarRunsAgree) {
+  ASSERT_EQ(Capacity(), 0) << bench.error;
+  Has("<!-- table agreement -->\nOne result alone: nothing to compare.\n");
+  const std::string scenario = "name = \"a\"\nrepeats = 2\n[[step]]\nkind = \"fake\"\n";
+  ASSERT_EQ(bench.Run(scenario, "first-2"), 0);
+  ASSERT_EQ(bench.Run(scenario + "bytes = 3.2\n", "second"), 0);
+  ASSERT_EQ(bench.Run(scenario + "bytes = 6\n", "third"), 0);
+  ASSERT_EQ(bench.Run("name = \"a\"\n[[step]]\nkind = \"fake\"\nlisted = [10]\n", "few"), 0);
+  const std::vector<std::string> files = {"--targets", bench.folder / "targets.toml", "--roles",
+                                          bench.folder / "roles.toml"};
+  const auto compare = [&](const char* later) {
+    std::vector<std::string> all = {"capacity", bench.folder / "first-2", bench.folder / later};
+    all.insert(all.end(), files.begin(), files.end());
+    return bench.Call(all);
+  };
+  ASSERT_EQ(compare("second"), 0) << bench.error;
+  // 1.05 * (100 + 3 * 7000), and 3.2 in place of 3: within the tenth between the repeats.
+  Has("| sidecar | memory | ordinary | 22155 | 23625 | 1.066 | none |");
+  ASSERT_EQ(compare("third"), 0) << bench.error;
+  Has("| sidecar | memory | ordinary | 22155 | 44205 | 1.995 | fake.memory_bytes.listed |");
+  ASSERT_EQ(compare("few"), 0) << bench.error;
+  Has("| sidecar | memory | ordinary | 22155 | - | - | not in both |");
+}
+
 TEST_F(ScaleCapacity, TellsFileAndKeyOfWhatHasNoValue) {
   const std::vector<std::pair<std::string, std::string>> bad = {
       {"serves * 2", "row[1].formula: serves is not known"},
--- a/tests/scale/fake_steps.hpp
+++ b/tests/scale/fake_steps.hpp
@@ -22,12 +22,14 @@
 inline bool stop_asked = false;
 inline std::filesystem::path scratch_seen;
 
-// Records memory = 100 + 3 * listed at each size; may fail, or be interrupted, after the first.
+// Records memory = 100 + 3 * listed at each size, and a tenth more in each repeat; may fail, or be
+// interrupted, after the first.
 class FakeStep : public Step {
  public:
   explicit FakeStep(Parameters& parameters)
       : listed_(parameters.Integers("listed", {1, 10, 100, 1000}, 1, 14000)),
         share_(parameters.Number("share", 0.5, 0, 1)),
+        bytes_(parameters.Number("bytes", 3, 0, 100)),
         word_(parameters.Word("ends", "")) {
     parameters.Flag("verbose", false);
     needs_.descriptors = static_cast<std::size_t>(parameters.Integer("descriptors", 0, 0, 1LL << 40));
@@ -45,7 +47,10 @@
     std::ofstream(context.scratch / "log") << "left behind";
     for (const std::int64_t listed : listed_) {
       const auto size = static_cast<double>(listed);
-      context.recorder.Add({"fake", {{"listed", size}}, {{"memory_bytes", 100 + 3 * size}}, 0});
+      for (int repeat = 0; repeat < context.repeats; ++repeat) {
+        const double memory = (100 + bytes_ * size) * (1 + 0.1 * repeat);
+        context.recorder.Add({"fake", {{"listed", size}}, {{"memory_bytes", memory}}, repeat});
+      }
       if (word_ == "thrown") throw std::runtime_error("no luck\nin " + context.scratch.string());
       if (word_ == "stopped") stop_asked = true;
       if (context.should_stop()) return;
@@ -55,6 +60,7 @@
  private:
   std::vector<std::int64_t> listed_;
   double share_;
+  double bytes_;
   std::string word_;
   Needs needs_;
 };
