Ask discovery within a second where no server is known, not in half of ask_within

Change: a sidecar whose first list leaves it no server to send to (an empty list, or one where all drain) calls within kAskBase, 1 s, or half of ask_within if that is less, at any size of the fleet. One that knows a server waits as before; one that takes over still asks at once.

Price, by the formula: 14,000 sidecars that start with empty lists at once make 14,000 calls in their first second, some 1,400 in each tenth; it was 2,800. The fan-out tier of relays carries that: each relay holds a bounded number at once and lets the others wait (relay/admission.cpp).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -126,7 +126,8 @@
 constexpr double kCrossingPriced = 0.05;
 // Seconds over which it is remembered what servers usually serve.
 constexpr double kServedSeconds = 10;
-// Asking discovery again after a failure waits random(0, min(ask_within, base * 2^n)).
+// Asking discovery again after a failure waits random(0, min(ask_within, base * 2^n)). The base is the spread
+// of the first call of those that start with no server, too.
 constexpr Micros kAskBase = kSecond;
 // The base is the longer the more sidecars there are: they lose discovery together, and it serves one call
 // after another. A fleet asks again at this rate at first, in calls a second.
@@ -178,13 +179,6 @@
                                   asks_failed_++, set_.ask_within);
       return AskLater(std::min(most, update.ask_within.value_or(most)));
     }
-    if (update.kind == ListUpdate::Kind::kStale) {
-      // A fresh start: spread, as all sidecars may have started together. One that takes over starts alone,
-      // and news that its predecessor has been told binds it too.
-      AskLater(set_.takes_over ? 0 : set_.ask_within / 2);
-    } else {
-      asks_failed_ = 0;
-    }
     if (update.kind != ListUpdate::Kind::kDelta)
       for (auto& [id, server] : servers_) server.listed = false;
     for (const ServerInfo& info : update.servers) {
@@ -199,8 +193,15 @@
       server.listed = info.state != ServerInfo::State::kGone;
     }
     Rebuild();
+    if (update.kind != ListUpdate::Kind::kStale) return void(asks_failed_ = 0);
+    // A fresh start: spread, as all sidecars may have started together; soon where nobody is served until the
+    // answer. One that takes over starts alone, and news that its predecessor has been told binds it too.
+    const Micros spread = set_.ask_within / 2;
+    AskLater(set_.takes_over ? 0 : NoServer() ? std::min(kAskBase, spread) : spread);
   }
 
+  bool NoServer() const { return pools_[0].ring.empty() && pools_[1].ring.empty(); }
+
   // ---- Servers out by hand ----
 
   void OnBan(std::string_view id, bool out) {
@@ -475,7 +476,7 @@
       if (!pools_[held.pool].ring.empty() && Admits(pools_[held.pool], own, held.late)) return true;
     }
     held.pool = 0;
-    return pools_[0].ring.empty() && pools_[1].ring.empty();  // a server may yet be listed while it waits
+    return NoServer();  // one may yet be listed while it waits
   }
 
   // Work that the fastest server of the window would not do in time serves nobody, and what it takes there is
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1,11 +1,15 @@
 // The module by failure met.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <cmath>
 #include <map>
+#include <numeric>
 #include <set>
 #include <utility>
 
+#include "cold_scene.hpp"
 #include "harness.hpp"
 
 namespace merlinrun::testing {
@@ -1320,6 +1324,80 @@
   }
 }
 
+// Forty fleets or more of each size start at once with no list. A call to discovery takes 3 s and each fifth
+// fails, which has to be repeated within 1.5 s, as `src/net` tells it. A sidecar is ready with its first
+// list.
+TEST_F(BalancerTest, AFleetThatStartsWithNoListIsReadyInTime) {
+  constexpr Micros kCall = 3 * kSec;
+  constexpr std::uint64_t kSidecars = 12'000;  // of all fleets of a size
+  for (const std::uint32_t siblings : {3U, 40U, 300U}) {
+    Settings settings = MakeSettings();
+    settings.must_subscribe = true;
+    settings.siblings = siblings;
+    int ready_in_5s = 0;
+    int ready_in_10s = 0;
+    std::vector<int> late(kSidecars / siblings);  // by fleet: not ready in 10 s
+    for (std::uint64_t sidecar = 0; sidecar < kSidecars; ++sidecar) {
+      settings.rank = static_cast<std::uint32_t>(sidecar % siblings);
+      Dice fails(sidecar);
+      std::string error;
+      now_ = 0;
+      balancer_ = Balancer::Create(settings, sidecar, now_, sink_, error);
+      List(ListUpdate::Kind::kStale, {});
+      for (bool ready = false; !ready;) {
+        const auto ask = Fire(sink_.Take().at(0));
+        ASSERT_EQ(ask.size(), 1u);
+        ASSERT_EQ(ask[0].kind, Kind::kSubscribe);
+        now_ += kCall;
+        ready = fails.Unit() >= 0.2;
+        ListUpdate failed{ListUpdate::Kind::kFailed, 0, {}};
+        failed.ask_within = kCall / 2;
+        if (!ready) balancer_->OnServers(now_, failed);
+      }
+      ready_in_5s += now_ <= 5 * kSec;
+      ready_in_10s += now_ <= 10 * kSec;
+      late[sidecar / siblings] += now_ > 10 * kSec;
+    }
+    EXPECT_GT(ready_in_5s, kSidecars * 3 / 4) << siblings;
+    EXPECT_GT(ready_in_10s, kSidecars * 19 / 20) << siblings;
+    if (siblings < 40) continue;
+    const auto many = [&](int n) { return n > static_cast<int>(siblings) / 10; };
+    EXPECT_LE(std::count_if(late.begin(), late.end(), many), static_cast<int>(late.size()) / 20) << siblings;
+  }
+}
+
+// What a fleet asks of discovery in its first second: all of it where no server is known, spread over the
+// second, and a fifth where one is. It is the same for all who have no server to send to.
+TEST_F(BalancerTest, TheFirstCallIsSoonWhereNoServerIsKnownAndSpreadWhereOneIs) {
+  const auto draining = [] {
+    auto servers = MakeServers(2);
+    for (ServerInfo& server : servers) server.state = ServerInfo::State::kDraining;
+    return servers;
+  }();
+  for (const std::uint32_t siblings : {3U, 40U, 300U, 14'000U}) {
+    const auto calls = [&](const std::vector<ServerInfo>& known) {
+      Settings settings = MakeSettings();
+      settings.must_subscribe = true;
+      settings.siblings = siblings;
+      std::array<int, 50> by_tenth{};  // of a second
+      for (std::uint64_t seed = 0; seed < 3000; ++seed) {
+        std::string error;
+        balancer_ = Balancer::Create(settings, seed, now_, sink_, error);
+        List(ListUpdate::Kind::kStale, known);
+        ++by_tenth.at(static_cast<std::size_t>(sink_.Take().at(0).time / (100 * kMs)));
+      }
+      return by_tenth;
+    };
+    for (const auto& known : {std::vector<ServerInfo>(), draining}) {
+      const auto soon = calls(known);
+      EXPECT_EQ(std::accumulate(soon.begin(), soon.begin() + 10, 0), 3000) << siblings;
+      EXPECT_LT(*std::max_element(soon.begin(), soon.end()), 400) << siblings;  // no herd in one instant
+    }
+    const auto spread = calls(MakeServers(2));
+    EXPECT_NEAR(std::accumulate(spread.begin(), spread.begin() + 10, 0), 600, 80) << siblings;
+  }
+}
+
 TEST_F(BalancerTest, AsksDiscoveryAgainAfterAFailureWithinTheTimeStated) {
   Settings settings = MakeSettings();
   settings.must_subscribe = true;
