Let a step of a scenario have repeats of its own

The scenario's repeats held for every step, so that a step which need not be read twice cost the whole run its time twice. `repeats` in a step's table now holds for that step alone, from 1 to 100; anything else is told with file and key before anything is started. The result still says the scenario's, and each sample its own. Run: ScaleRun and BadScenario, with a step of three repeats beside one of the scenario's two, and two bad values.

--- a/scale/runner.cpp
+++ b/scale/runner.cpp
@@ -80,7 +80,7 @@
     spdlog::info("{} ({}): starts", planned.key, planned.kind);
     const std::size_t before = result_.samples.size();
     ResultRecorder recorder(result_);
-    Context context{recorder, scenario_.seed,      scenario_.repeats, options_.sidecar, options_.relay,
+    Context context{recorder, scenario_.seed,      planned.repeats, options_.sidecar, options_.relay,
                     {},       options_.should_stop};
     try {
       context.scratch = scratch_.path() / planned.key;
--- a/scale/scenario.cpp
+++ b/scale/scenario.cpp
@@ -13,14 +13,19 @@
 constexpr double kMostMemoryMb = 12288;
 constexpr std::int64_t kMostProcesses = 300;
 
+int Repeats(TableReader& reader, int standard) {
+  return static_cast<int>(reader.Integer("repeats", standard, 1, 100));
+}
+
 PlannedStep MakeStep(const std::filesystem::path& file, std::size_t number, const toml::table& table,
-                     const std::map<std::string, StepFactory>& kinds) {
+                     int repeats, const std::map<std::string, StepFactory>& kinds) {
   PlannedStep planned;
   planned.key = "step[" + std::to_string(number) + "]";
   TableReader parameters(file, planned.key + ".", table);
   planned.kind = parameters.Needed("kind");
   const auto kind = kinds.find(planned.kind);
   if (kind == kinds.end()) parameters.Reject("kind", "no kind of step is named " + planned.kind);
+  planned.repeats = Repeats(parameters, repeats);
   planned.step = kind->second(parameters);
   parameters.RejectUnusedKeys();
   return planned;
@@ -47,7 +52,7 @@
   scenario.name = reader.Needed("name");
   scenario.seed =
       static_cast<std::uint64_t>(reader.Integer("seed", 1, 0, std::numeric_limits<std::int64_t>::max()));
-  scenario.repeats = static_cast<int>(reader.Integer("repeats", 1, 1, 100));
+  scenario.repeats = Repeats(reader, 1);
   if (const toml::table* limits = reader.Table("limits")) {
     TableReader limit(file, "limits.", *limits);
     scenario.memory_mb = limit.Number("memory_mb", kMostMemoryMb, 1, kMostMemoryMb);
@@ -59,7 +64,7 @@
   reader.RejectUnusedKeys();
   if (tables.empty()) reader.Reject("step", "there are no steps");
   for (std::size_t i = 0; i < tables.size(); ++i) {
-    PlannedStep planned = MakeStep(file, i + 1, *tables[i], kinds);
+    PlannedStep planned = MakeStep(file, i + 1, *tables[i], scenario.repeats, kinds);
     const bool wanted = only.empty() || std::find(only.begin(), only.end(), planned.kind) != only.end();
     if (wanted) scenario.steps.push_back(std::move(planned));
   }
--- a/scale/scenario.hpp
+++ b/scale/scenario.hpp
@@ -17,6 +17,7 @@
 struct PlannedStep {
   std::string key;   // "step[2]", counted from 1 as they stand in the file
   std::string kind;  // its name in StepKinds()
+  int repeats = 1;   // of each of its readings: its own, or else the scenario's
   std::unique_ptr<Step> step;
 };
 
@@ -25,7 +26,7 @@
   std::string text;  // the whole file, for the result
   std::string name;
   std::uint64_t seed = 1;
-  int repeats = 1;
+  int repeats = 1;              // of each reading, where a step has none of its own
   double memory_mb = 12288;     // that all steps stay under
   std::size_t processes = 300;  // children at a time
   std::vector<PlannedStep> steps;
--- a/tests/scale/fake_steps.hpp
+++ b/tests/scale/fake_steps.hpp
@@ -21,6 +21,7 @@
 inline int steps_run = 0;
 inline bool stop_asked = false;
 inline std::filesystem::path scratch_seen;
+inline std::vector<int> repeats_seen;  // by each step that ran
 
 // Records memory = 100 + 3 * listed at each size; may fail, or be interrupted, after the first.
 class FakeStep : public Step {
@@ -42,6 +43,7 @@
   void Run(Context& context) override {
     ++steps_run;
     scratch_seen = context.scratch;
+    repeats_seen.push_back(context.repeats);
     std::ofstream(context.scratch / "log") << "left behind";
     for (const std::int64_t listed : listed_) {
       const auto size = static_cast<double>(listed);
@@ -79,6 +81,7 @@
     if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("mkdtemp");
     folder = name;
     steps_run = 0;
+    repeats_seen.clear();
     stop_asked = false;
   }
   ~Bench() { std::filesystem::remove_all(folder); }
--- a/tests/scale/frame_test.cpp
+++ b/tests/scale/frame_test.cpp
@@ -66,6 +66,8 @@
         Bad{kGood + "share = nan\n", "step[1].share: must be from 0 to 1"},
         Bad{kGood + "share = \"a\"\n", "step[1].share: must be a number"},
         Bad{kGood + "verbose = 1\n", "step[1].verbose: must be true or false"},
+        Bad{kGood + "repeats = 0\n", "step[1].repeats: must be from 1 to 100"},
+        Bad{kGood + "repeats = \"2\"\n", "step[1].repeats: must be a whole number"},
         Bad{kGood + "ends = \"badly\"\n", "step[1].ends: must not end badly"},
         Bad{kGood + "descriptors = 99999999999\n", "step[1]: fake needs 99999999999 descriptors, there are "},
         Bad{kGood + "ports = 28001\n", "step[1]: fake needs 28001 ports, there are "},
@@ -103,6 +105,14 @@
   EXPECT_FALSE(std::filesystem::exists(scratch_seen.parent_path()));
 }
 
+TEST(ScaleRun, AStepsOwnRepeatsHoldForItAlone) {
+  const Bench bench;
+  ASSERT_EQ(bench.Run("repeats = 2\n" + kGood + "repeats = 3\n[[step]]\nkind = \"other\"\n", "out"), 0)
+      << bench.error;
+  EXPECT_EQ(repeats_seen, (std::vector<int>{3, 2}));
+  EXPECT_EQ(ReadResult(bench.folder / "out").repeats, 2);
+}
+
 TEST(ScaleRun, NeverOverwritesAResult) {
   const Bench bench;
   std::filesystem::create_directory(bench.folder / "out");
