Play a rack and a zone apart, each with its figures for the loss and for the return

play_zone lost a rack, took it back, and lost a zone: one spread over all four. play_rack and play_zone are two plays of one code now, each with the spread until in force of the loss and of the return, and the time from the first server told until the last change is in force everywhere, which a busy discovery stretches and the changes' own times do not show. All plays say how long they took, what share of the machine was busy, how much of it was the rig, and how busy the processes that hold the sidecars were: where these are full, it is the rig that is measured. Run: RigTest and the test that each play counts as many as sidecars times changes in each of its two parts.

--- a/scale/discovery_steps.hpp
+++ b/scale/discovery_steps.hpp
@@ -13,6 +13,7 @@
 std::unique_ptr<Step> MakeWatches(Parameters& parameters);
 std::unique_ptr<Step> MakeChangeRate(Parameters& parameters);
 std::unique_ptr<Step> MakePlayDiscoveryRestart(Parameters& parameters);
+std::unique_ptr<Step> MakePlayRack(Parameters& parameters);
 std::unique_ptr<Step> MakePlayRegionCut(Parameters& parameters);
 std::unique_ptr<Step> MakePlayRegionRestart(Parameters& parameters);
 std::unique_ptr<Step> MakePlayRollout(Parameters& parameters);
--- a/scale/machine.cpp
+++ b/scale/machine.cpp
@@ -63,6 +63,20 @@
   return machine;
 }
 
+CpuTimes ReadCpuTimes() {
+  std::ifstream in("/proc/stat");
+  std::string name;
+  // What the hypervisor gave to others is as good as busy here.
+  double user = 0, nice = 0, system = 0, idle = 0, iowait = 0, irq = 0, softirq = 0, steal = 0;
+  in >> name >> user >> nice >> system >> idle >> iowait >> irq >> softirq >> steal;
+  const double busy = user + nice + system + irq + softirq + steal;
+  return {busy, busy + idle + iowait};
+}
+
+double BusyShare(const CpuTimes& before, const CpuTimes& after) {
+  return after.all > before.all ? (after.busy - before.busy) / (after.all - before.all) : 0;
+}
+
 ScratchFolder::ScratchFolder() {
   std::string name = (std::filesystem::temp_directory_path() / "rookhub_scale.XXXXXX").string();
   if (mkdtemp(name.data()) == nullptr) throw std::system_error(errno, std::generic_category(), "mkdtemp");
--- a/scale/machine.hpp
+++ b/scale/machine.hpp
@@ -25,6 +25,17 @@
 
 Machine ReadMachine();
 
+// Of all cores together, since the machine's start, in its ticks.
+struct CpuTimes {
+  double busy = 0;
+  double all = 0;
+};
+
+CpuTimes ReadCpuTimes();
+
+// Which part of all cores was busy between two readings; 0 if no tick has passed.
+double BusyShare(const CpuTimes& before, const CpuTimes& after);
+
 // A fresh folder, removed with all that it holds when this goes.
 class ScratchFolder {
  public:
--- a/scale/play.cpp
+++ b/scale/play.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "machine.hpp"
 #include "server_list.hpp"
 
 namespace merlinrun::scale {
@@ -38,6 +39,7 @@
     rig.AwaitWatches();
     const std::int64_t cpu = rig.FleetFigure("cpu_us");
     const auto before = rig.Counts();
+    const CpuTimes machine = ReadCpuTimes();
 
     Sample sample;
     sample.measure = name_;
@@ -48,6 +50,7 @@
     rig.AwaitForce(played.at("generation").get<std::int64_t>());
     const std::int64_t end_cpu = rig.FleetFigure("cpu_us");
     const auto after = rig.Counts();
+    const CpuTimes end_machine = ReadCpuTimes();
     plot_->Conclude(rig, sample.figures);
 
     const auto changes = rig.ChangesSince(first);
@@ -64,6 +67,15 @@
     sample.figures["discovery_cpu_share"] = Gain(before, after, "cpu_us") / us;
     sample.figures["sidecar_cpu_share"] =
         static_cast<double>(end_cpu - cpu) / us / static_cast<double>(sidecars);
+    sample.figures["seconds"] = 1e-6 * us;
+    // Near 1, the rig is what limits the play: the processes that hold the sidecars, or the machine.
+    sample.figures["fleet_process_cpu_share"] =
+        static_cast<double>(end_cpu - cpu) / us / static_cast<double>(options_.fleets);
+    sample.figures["machine_cpu_share"] = BusyShare(machine, end_machine);
+    // The part of the machine's share that is the rig's own; the rest is what else runs on it.
+    const double rig_cpu_us = static_cast<double>(end_cpu - cpu) + Gain(before, after, "cpu_us");
+    sample.figures["rig_cpu_share"] =
+        rig_cpu_us / us / static_cast<double>(std::max(ReadMachine().cores, 1U));
     context.recorder.Add(std::move(sample));
   }
 
--- a/scale/steps.cpp
+++ b/scale/steps.cpp
@@ -18,6 +18,7 @@
       {"hollow_and_real", MakeHollowAndReal},
       {"list_size", MakeListSize},
       {"play_discovery_restart", MakePlayDiscoveryRestart},
+      {"play_rack", MakePlayRack},
       {"play_region_cut", MakePlayRegionCut},
       {"play_region_restart", MakePlayRegionRestart},
       {"play_rollout", MakePlayRollout},
--- a/tests/scale/discovery_rig_test.cpp
+++ b/tests/scale/discovery_rig_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -16,11 +17,10 @@
 namespace merlinrun::scale {
 namespace {
 
-const std::set<std::string> kOwnKinds = {"change_rate",     "change_size",
-                                         "list_size",       "play_zone",
-                                         "play_region_cut", "play_region_restart",
-                                         "play_steady",     "play_discovery_restart",
-                                         "play_rollout",    "watches"};
+const std::set<std::string> kOwnKinds = {"change_rate",         "change_size", "list_size",
+                                         "play_rack",           "play_zone",   "play_region_cut",
+                                         "play_region_restart", "play_steady", "play_discovery_restart",
+                                         "play_rollout",        "watches"};
 
 // Two sizes, and little of everything else.
 class Small : public Parameters {
@@ -129,6 +129,28 @@
   }
 }
 
+// A zone of 40 servers in 37 zones has two; a rack, the zone's servers over its racks, and one at least.
+TEST_F(RigTest, ARackAndAZoneAreTwoPlaysWithALossAndAReturnEach) {
+  for (const auto& [kind, servers] : std::map<std::string, double>{{"play_rack", 1}, {"play_zone", 2}}) {
+    recorder.samples.clear();
+    Small parameters;
+    StepKinds().at(kind)(parameters)->Run(context);
+    ASSERT_FALSE(recorder.samples.empty());
+    for (const Sample& sample : recorder.samples) {
+      const auto& figures = sample.figures;
+      EXPECT_EQ(figures.at("servers"), servers) << kind;
+      EXPECT_EQ(figures.at("changes"), 2) << kind;
+      for (const std::string phase : {"lost", "back"}) {
+        EXPECT_EQ(figures.at(phase + "_changes"), 1) << kind;
+        EXPECT_EQ(figures.at(phase + "_in_force_count"), sample.conditions.at("sidecars")) << kind;
+        EXPECT_EQ(figures.count(phase + "_in_force_p50_ms"), 1U) << kind;
+        EXPECT_GE(figures.at(phase + "_within_ms"), figures.at(phase + "_in_force_last_ms")) << kind;
+      }
+      EXPECT_EQ(figures.at("in_force_count"), 2 * sample.conditions.at("sidecars")) << kind;
+    }
+  }
+}
+
 TEST_F(RigTest, StopsWhenItIsInterrupted) {
   DiscoveryRig rig(context, {});
   EXPECT_NO_THROW(rig.Pass(0));
--- a/tests/scale/smoke_test.cpp
+++ b/tests/scale/smoke_test.cpp
@@ -65,6 +65,11 @@
     // Each change is in force at each sidecar, those that were started anew aside.
     if (sample.measure.rfind("play_", 0) == 0 && sample.measure != "play_region_restart")
       is("in_force_count", sample.figures.at("changes") * sample.conditions.at("sidecars"));
+    if (sample.measure == "play_rack" || sample.measure == "play_zone") {
+      for (const std::string phase : {"lost", "back"})
+        is((phase + "_in_force_count").c_str(),
+           sample.figures.at(phase + "_changes") * sample.conditions.at("sidecars"));
+    }
   }
   const std::map<std::string, int> expected = {{"list_size", 2},
                                                {"change_size", 1},
@@ -78,6 +83,7 @@
                                                {"chain", 2},
                                                {"sidecars", 1},
                                                {"play_steady", 1},
+                                               {"play_rack", 1},
                                                {"play_zone", 1},
                                                {"play_rollout", 1},
                                                {"play_region_cut", 1},
