Play what befalls a fleet on discovery itself and behind relays

The plays knew discovery alone, so that nothing said what the fan-out tier changes in the seconds that they stand for. `relays`, as in fan_out, is a condition of their samples now: the same fleet, with no relays and behind each number of them, one in each region; their calls, refusals, whole lists, bytes and processor are figures beside discovery's. What starts both is one piece of code for fan_out and the plays (relayed_rig), which counts the relays' processes, listeners and memory among the needs, with their watches' memory, which fan_out left out. Driven changes are drawn alike for every reading: before and after see the same ones. What was taken of the processor is told whole too, as shares fall where a play takes longer. Tests: every kind of play has four samples where it had two, all its conditions are looked at, and the relays among its processes; of a region that is restarted behind relays no call comes to discovery. Smoke plays a rack behind two relays.

--- a/scale/fan_out.cpp
+++ b/scale/fan_out.cpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "discovery_rig.hpp"
-#include "relay_tier.hpp"
+#include "relayed_rig.hpp"
 
 namespace merlinrun::scale {
 namespace {
@@ -38,15 +38,7 @@
         burst_s_(parameters.Number("burst_s", 1.5, 0.001, 60)),
         idle_s_(parameters.Number("idle_s", 6, 0.1, 600)) {}
 
-  Needs Requires() const override {
-    const std::int64_t relays = *std::max_element(relays_.begin(), relays_.end());
-    Needs needs = DiscoveryRig::Requires({listed_, std::max<std::int64_t>(relays, 1), fleets_},
-                                         *std::max_element(watches_.begin(), watches_.end()));
-    needs.ports += static_cast<std::size_t>(relays);
-    needs.processes += static_cast<std::size_t>(relays);
-    needs.memory_mb += kRelayMb * static_cast<double>(relays);
-    return needs;
-  }
+  Needs Requires() const override { return RelayedRig::Requires({listed_, 1, fleets_}, relays_, watches_); }
 
   void Run(Context& context) override {
     for (const std::int64_t watches : watches_)
@@ -56,8 +48,6 @@
   }
 
  private:
-  static constexpr double kRelayMb = 64;
-
   // One size of the fleet, on discovery itself or on relays.
   class Trial {
    public:
@@ -67,11 +57,7 @@
           watches_(watches),
           relays_(relays),
           repeat_(repeat),
-          rig_(context, {step.listed_, std::max<std::int64_t>(relays, 1), step.fleets_}) {
-      if (relays == 0) return;
-      tier_.emplace(context, rig_.addresses(), step.batch_ms_);
-      rig_.Serve(tier_->addresses());
-    }
+          relayed_(context, {step.listed_, 1, step.fleets_}, relays, step.batch_ms_) {}
 
     void Play() {
       const double empty_bytes = tier_ ? tier_->MemoryBytes() : 0;
@@ -210,8 +196,9 @@
     const std::int64_t watches_;
     const std::int64_t relays_;
     const int repeat_;
-    DiscoveryRig rig_;
-    std::optional<RelayTier> tier_;
+    RelayedRig relayed_;
+    DiscoveryRig& rig_ = relayed_.rig;
+    const std::optional<RelayTier>& tier_ = relayed_.tier;
     Figures upstream_beat_;  // by figure, each microsecond
     Figures relay_beat_;
     std::int64_t generation_ = 0;
--- a/scale/play.cpp
+++ b/scale/play.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "machine.hpp"
+#include "relayed_rig.hpp"
 #include "server_list.hpp"
 
 namespace merlinrun::scale {
@@ -14,6 +15,8 @@
   PlayStep(const char* name, PlotFactory plot, Parameters& parameters)
       : name_(name),
         sidecars_(parameters.Integers("sidecars", {100, 400, 2000, 8000}, 1, 19'000)),
+        relays_(RelaysOf(parameters)),
+        batch_ms_(parameters.Integer("batch_ms", 500, 0, 60'000)),
         plot_(plot(parameters)) {
     options_.listed = ListedOf(parameters);
     options_.regions = RegionsOf(parameters);
@@ -23,33 +26,38 @@
     options_.must_subscribe = parameters.Flag("must_subscribe", false);
   }
 
-  Needs Requires() const override {
-    return DiscoveryRig::Requires(options_, *std::max_element(sidecars_.begin(), sidecars_.end()));
-  }
+  Needs Requires() const override { return RelayedRig::Requires(options_, relays_, sidecars_); }
 
   void Run(Context& context) override {
-    ReadEach(context, sidecars_, [&](std::int64_t sidecars, int repeat) { Read(context, sidecars, repeat); });
+    ReadEach(context, sidecars_, [&](std::int64_t sidecars, int repeat) {
+      for (const std::int64_t relays : relays_) Read(context, sidecars, relays, repeat);
+    });
   }
 
  private:
-  void Read(Context& context, std::int64_t sidecars, int repeat) {
-    DiscoveryRig rig(context, options_);
+  void Read(Context& context, std::int64_t sidecars, std::int64_t relays, int repeat) {
+    RelayedRig relayed(context, options_, relays, batch_ms_);
+    DiscoveryRig& rig = relayed.rig;
     const auto first = rig.Counts().at("generation").get<std::int64_t>();
     rig.Add(sidecars);
     rig.AwaitWatches();
     const std::int64_t cpu = rig.FleetFigure("cpu_us");
+    const auto relays_before = RelaySums(relayed);
     const auto before = rig.Counts();
     const CpuTimes machine = ReadCpuTimes();
 
     Sample sample;
     sample.measure = name_;
     sample.repeat = repeat;
-    sample.conditions = {{"sidecars", static_cast<double>(sidecars)}};
+    sample.conditions = {{"sidecars", static_cast<double>(sidecars)},
+                         {"relays", static_cast<double>(relays)}};
     plot_->Play(rig, sample.figures);
     const auto played = rig.Counts();
     rig.AwaitForce(played.at("generation").get<std::int64_t>());
+    rig.AwaitWatches();  // whoever came back in the play calls a second time, for its watch
     const std::int64_t end_cpu = rig.FleetFigure("cpu_us");
     const auto after = rig.Counts();
+    const auto relays_after = RelaySums(relayed);
     const CpuTimes end_machine = ReadCpuTimes();
     plot_->Conclude(rig, sample.figures);
 
@@ -64,6 +72,9 @@
     sample.figures["bytes_out"] = Gain(before, after, "bytes_out");
     sample.figures["most_calls_in_a_second"] = std::max(played.at("most_calls_in_a_second").get<double>(),
                                                         after.at("most_calls_in_a_second").get<double>());
+    // The shares fall where a play takes longer, what it took does not.
+    sample.figures["discovery_cpu_us"] = Gain(before, after, "cpu_us");
+    sample.figures["sidecar_cpu_us"] = static_cast<double>(end_cpu - cpu) / static_cast<double>(sidecars);
     sample.figures["discovery_cpu_share"] = Gain(before, after, "cpu_us") / us;
     sample.figures["sidecar_cpu_share"] =
         static_cast<double>(end_cpu - cpu) / us / static_cast<double>(sidecars);
@@ -72,15 +83,35 @@
     sample.figures["fleet_process_cpu_share"] =
         static_cast<double>(end_cpu - cpu) / us / static_cast<double>(options_.fleets);
     sample.figures["machine_cpu_share"] = BusyShare(machine, end_machine);
+    double rig_cpu_us = static_cast<double>(end_cpu - cpu) + Gain(before, after, "cpu_us");
+    if (relays > 0) {
+      AddRelays(relays_before, relays_after, us, relays, sample.figures);
+      rig_cpu_us += relays_after.at("cpu_us") - relays_before.at("cpu_us");
+    }
     // The part of the machine's share that is the rig's own; the rest is what else runs on it.
-    const double rig_cpu_us = static_cast<double>(end_cpu - cpu) + Gain(before, after, "cpu_us");
     sample.figures["rig_cpu_share"] =
         rig_cpu_us / us / static_cast<double>(std::max(ReadMachine().cores, 1U));
     context.recorder.Add(std::move(sample));
   }
 
+  static std::map<std::string, double> RelaySums(const RelayedRig& relayed) {
+    return relayed.tier ? relayed.tier->Sums() : std::map<std::string, double>();
+  }
+
+  static void AddRelays(const std::map<std::string, double>& before,
+                        const std::map<std::string, double>& after, double us, std::int64_t relays,
+                        std::map<std::string, double>& figures) {
+    const auto gain = [&](const char* counter) { return after.at(counter) - before.at(counter); };
+    figures["relay_calls"] = gain("calls") - static_cast<double>(relays);  // the reading itself is one
+    for (const char* const counter : {"refused", "turned_away", "whole_lists", "objects", "bytes_out"})
+      figures[std::string("relay_") + counter] = gain(counter);
+    figures["relay_cpu_share"] = gain("cpu_us") / us / static_cast<double>(relays);  // of each
+  }
+
   const std::string name_;
   const std::vector<std::int64_t> sidecars_;
+  const std::vector<std::int64_t> relays_;  // 0: the sidecars watch discovery itself
+  const std::int64_t batch_ms_;
   const std::unique_ptr<Plot> plot_;
   DiscoveryRig::Options options_;
 };
@@ -92,6 +123,9 @@
 }
 
 std::int64_t ListedOf(Parameters& parameters) { return parameters.Integer("listed", 300, kZones, 50'000); }
+std::vector<std::int64_t> RelaysOf(Parameters& parameters) {
+  return parameters.Integers("relays", {0, 4}, 0, 64);
+}
 std::int64_t RegionsOf(Parameters& parameters) { return parameters.Integer("regions", 10, 1, 250); }
 
 }  // namespace merlinrun::scale
--- a/scale/play.hpp
+++ b/scale/play.hpp
@@ -13,6 +13,9 @@
 
 namespace merlinrun::scale {
 
+// Of the changes that discovery is driven to: the same ones for each size, without relays and behind them.
+inline constexpr std::uint64_t kDriveSeed = 1;
+
 // What befalls a fleet.
 class Plot {
  public:
@@ -25,12 +28,14 @@
 
 using PlotFactory = std::unique_ptr<Plot> (*)(Parameters& parameters);
 
-// A step that plays it with fleets of each of the sizes "sidecars".
+// A step that plays it with fleets of each of the sizes "sidecars", on discovery itself and behind so many
+// relays as "relays" has. With relays, each region has its own, and there are as many regions.
 std::unique_ptr<Step> MakePlay(const char* name, PlotFactory plot, Parameters& parameters);
 
 // The keys that all plays share; a plot may ask for the same ones.
 std::int64_t ListedOf(Parameters& parameters);
 std::int64_t RegionsOf(Parameters& parameters);
+std::vector<std::int64_t> RelaysOf(Parameters& parameters);
 
 }  // namespace merlinrun::scale
 
--- a/scale/play_region_cut.cpp
+++ b/scale/play_region_cut.cpp
@@ -15,7 +15,7 @@
     before_ = rig.Counts().at("generation").get<std::int64_t>();
     rig.Tell({{"do", "cut"}, {"region", 0}, {"on", true}});
     rig.Change({{"first", 0}, {"lifecycle", "draining"}});  // one at least
-    rig.Tell({{"do", "drive"}, {"per_s", per_s_}, {"seed", ++seed_}});
+    rig.Tell({{"do", "drive"}, {"per_s", per_s_}, {"seed", kDriveSeed}});
     rig.Pass(cut_s_);
     rig.Tell({{"do", "drive"}, {"per_s", 0}});
     healed_ = rig.Tell({{"do", "cut"}, {"region", 0}, {"on", false}}).at("at_us").get<Micros>();
@@ -33,7 +33,6 @@
   const double cut_s_;
   std::int64_t before_ = 0;
   Micros healed_ = 0;
-  std::uint64_t seed_ = 0;
 };
 
 }  // namespace
--- a/scale/play_steady.cpp
+++ b/scale/play_steady.cpp
@@ -15,7 +15,7 @@
         seconds_(parameters.Number("seconds", 20, 0.5, 3600)) {}
 
   void Play(DiscoveryRig& rig, std::map<std::string, double>&) override {
-    rig.Tell({{"do", "drive"}, {"per_s", per_day_ / kDay_s * speed_}, {"seed", ++seed_}});
+    rig.Tell({{"do", "drive"}, {"per_s", per_day_ / kDay_s * speed_}, {"seed", kDriveSeed}});
     rig.Pass(seconds_);
     rig.Tell({{"do", "drive"}, {"per_s", 0}});
   }
@@ -24,7 +24,6 @@
   const double per_day_;
   const double speed_;  // so many times as fast as the day
   const double seconds_;
-  std::uint64_t seed_ = 0;
 };
 
 }  // namespace
--- a/tests/scale/discovery_rig_test.cpp
+++ b/tests/scale/discovery_rig_test.cpp
@@ -12,17 +12,25 @@
 #include <utility>
 #include <vector>
 
+#include "scale/relayed_rig.hpp"
 #include "scale/step.hpp"
 
 namespace merlinrun::scale {
 namespace {
 
-const std::set<std::string> kOwnKinds = {"change_rate",         "change_size", "list_size",
-                                         "play_rack",           "play_zone",   "play_region_cut",
-                                         "play_region_restart", "play_steady", "play_discovery_restart",
-                                         "play_rollout",        "watches"};
-
-// Two sizes, and little of everything else.
+const std::set<std::string> kOwnKinds = {"change_rate",
+                                         "change_size",
+                                         "list_size",
+                                         "play_discovery_restart",
+                                         "play_rack",
+                                         "play_region_cut",
+                                         "play_region_restart",
+                                         "play_rollout",
+                                         "play_steady",
+                                         "play_zone",
+                                         "watches"};
+
+// Two sizes, without relays and behind two, and little of everything else.
 class Small : public Parameters {
  public:
   std::int64_t Integer(const std::string& key, std::int64_t standard, std::int64_t least,
@@ -44,9 +52,15 @@
   std::string Word(const std::string&, const std::string& standard) override { return standard; }
   std::vector<std::int64_t> Integers(const std::string& key, const std::vector<std::int64_t>& standard,
                                      std::int64_t least, std::int64_t most) override {
-    EXPECT_GE(standard.size(), 4U) << key;  // and over two decades
     EXPECT_GE(standard.front(), least) << key;
     EXPECT_LE(standard.back(), most) << key;
+    if (key == "relays") {
+      EXPECT_EQ(standard.front(), 0);  // before and after
+      EXPECT_GE(standard.size(), 2U);
+      asked.insert(key);
+      return {0, 2};
+    }
+    EXPECT_GE(standard.size(), 4U) << key;  // and over two decades
     sizes.insert(key);
     return {40, 41};
   }
@@ -67,7 +81,13 @@
   };
 
   Kept recorder;
-  Context context{recorder, 1, 1, {}, {}, std::filesystem::temp_directory_path(), [this] { return stop; }};
+  Context context{recorder,
+                  1,
+                  1,
+                  {},
+                  ROOKHUB_RELAY_PROGRAM,
+                  std::filesystem::temp_directory_path(),
+                  [this] { return stop; }};
   bool stop = false;
 };
 
@@ -114,18 +134,24 @@
     recorder.samples.clear();
     Small parameters;
     const auto step = make(parameters);
-    EXPECT_EQ(step->Requires().processes, parameters.asked.count("processes") > 0 ? 3U : 2U) << kind;
+    const bool relayed = parameters.asked.count("relays") > 0;
+    const std::size_t fleets = parameters.asked.count("processes") > 0 ? 2 : 1;
+    EXPECT_EQ(step->Requires().processes, 1 + fleets + (relayed ? 2 : 0)) << kind;
     step->Run(context);
-    ASSERT_EQ(recorder.samples.size(), 2U) << kind;
+    std::vector<double> sizes;
+    std::vector<double> relays;
     for (const Sample& sample : recorder.samples) {
       EXPECT_EQ(sample.measure, kind);
-      ASSERT_EQ(sample.conditions.size(), 1U) << kind;
-      EXPECT_EQ(parameters.sizes.count(sample.conditions.begin()->first), 1U) << kind;
+      ASSERT_EQ(sample.conditions.size(), relayed ? 2U : 1U) << kind;
+      for (const auto& [condition, value] : sample.conditions) {
+        if (condition == "relays") relays.push_back(value);
+        if (parameters.sizes.count(condition) > 0) sizes.push_back(value);
+      }
       const auto it = sample.figures.find("in_force_count");
       EXPECT_TRUE(it == sample.figures.end() || it->second > 0) << kind;
     }
-    EXPECT_EQ(recorder.samples[0].conditions.begin()->second, 40) << kind;
-    EXPECT_EQ(recorder.samples[1].conditions.begin()->second, 41) << kind;
+    EXPECT_EQ(sizes, relayed ? (std::vector<double>{40, 40, 41, 41}) : (std::vector<double>{40, 41})) << kind;
+    EXPECT_EQ(relays, relayed ? (std::vector<double>{0, 2, 0, 2}) : std::vector<double>()) << kind;
   }
 }
 
@@ -135,7 +161,7 @@
     recorder.samples.clear();
     Small parameters;
     StepKinds().at(kind)(parameters)->Run(context);
-    ASSERT_FALSE(recorder.samples.empty());
+    ASSERT_EQ(recorder.samples.size(), 4U);
     for (const Sample& sample : recorder.samples) {
       const auto& figures = sample.figures;
       EXPECT_EQ(figures.at("servers"), servers) << kind;
@@ -151,6 +177,39 @@
   }
 }
 
+// Behind relays discovery itself has no calls from sidecars, and the relays have what it would have.
+TEST_F(RigTest, RelaysTakeTheCallsOfARegionThatIsRestarted) {
+  Small parameters;
+  StepKinds().at("play_region_restart")(parameters)->Run(context);
+  ASSERT_EQ(recorder.samples.size(), 4U);
+  for (const Sample& sample : recorder.samples) {
+    const auto& figures = sample.figures;
+    const double calls = 2 * figures.at("restarted");  // for the whole list, and for the watch
+    EXPECT_GT(calls, 0);
+    if (sample.conditions.at("relays") > 0) {
+      EXPECT_EQ(figures.at("calls"), 0);
+      EXPECT_EQ(figures.at("relay_calls") - figures.at("relay_refused"), calls);
+      EXPECT_EQ(figures.at("relay_whole_lists"), figures.at("restarted"));
+    } else {
+      EXPECT_EQ(figures.at("calls") - figures.at("refused"), calls);  // a queue of four refuses some
+      EXPECT_EQ(figures.count("relay_calls"), 0U);
+    }
+    EXPECT_GT(figures.at("machine_cpu_share"), 0);
+    EXPECT_LE(figures.at("machine_cpu_share"), 1);
+  }
+}
+
+// The tier's processes, listeners, and memory are counted, at the largest of the numbers asked for.
+TEST_F(RigTest, RelaysAreNeedsOfTheirOwn) {
+  const DiscoveryRig::Options options{300, 3, 4};
+  const Needs without = RelayedRig::Requires(options, {0}, {100, 5000});
+  const Needs with = RelayedRig::Requires(options, {0, 8, 2}, {100, 5000});
+  EXPECT_EQ(with.processes, without.processes + 8);
+  EXPECT_EQ(with.ports, without.ports + 5 + 8);  // a region for each relay in place of three, and the relays'
+  EXPECT_GT(with.memory_mb, without.memory_mb);
+  EXPECT_GE(with.descriptors, 5000U);
+}
+
 TEST_F(RigTest, StopsWhenItIsInterrupted) {
   DiscoveryRig rig(context, {});
   EXPECT_NO_THROW(rig.Pass(0));
--- a/tests/scale/smoke_test.cpp
+++ b/tests/scale/smoke_test.cpp
@@ -83,7 +83,7 @@
                                                {"chain", 2},
                                                {"sidecars", 1},
                                                {"play_steady", 1},
-                                               {"play_rack", 1},
+                                               {"play_rack", 2},
                                                {"play_zone", 1},
                                                {"play_rollout", 1},
                                                {"play_region_cut", 1},
