Play a change of configuration: a fleet's sidecars move to another address of discovery

Nothing said what it takes when all sidecars are given another address of discovery at once, as by SIGHUP. play_reload moves those of each region to the next one's address, or to its relay, by Discovery::Switch, which Sidecar's Reload is too; it changes a server while they move, and one once all watch there. Its figures: the time from the reload to the first list, to the first object of the watch upon it, and until each of both changes is in force. A hollow sidecar says for this when it has watched since its start or its last move; what it knows stays in force meanwhile, as in the real one. Tests: all move, both changes come into force at all, no address to move to is told with its key; a moved hollow sidecar goes on sending while the new discovery is down. Smoke plays it both ways.

--- a/scale/discovery_rig.cpp
+++ b/scale/discovery_rig.cpp
@@ -79,6 +79,16 @@
   sidecars_ -= std::exchange(in_region_[region], 0);
 }
 
+void DiscoveryRig::Reload() {
+  for (std::int64_t i = 0; i < options_.regions; ++i) {
+    const json command = {
+        {"do", "reload"}, {"region", i}, {"address", addresses_.at(static_cast<std::size_t>(i))}};
+    for (const auto& fleet : fleets_) fleet->Send(command);
+  }
+  for (std::int64_t i = 0; i < options_.regions; ++i)
+    for (const auto& fleet : fleets_) fleet->Receive();
+}
+
 void DiscoveryRig::AwaitForce(std::int64_t generation) { Await("at", generation); }
 
 void DiscoveryRig::AwaitWatches() { Await("settled", 0); }
@@ -131,6 +141,8 @@
 
 Spread DiscoveryRig::Joined(std::int64_t region) { return AskSpread({{"do", "joined"}, {"region", region}}); }
 
+Spread DiscoveryRig::Watching() { return AskSpread({{"do", "watching"}}); }
+
 Spread DiscoveryRig::AskSpread(const json& command) {
   std::map<std::int64_t, std::int64_t> counts;  // by tenths of a millisecond
   Spread spread;
--- a/scale/discovery_rig.hpp
+++ b/scale/discovery_rig.hpp
@@ -50,9 +50,12 @@
   // Starts so many hollow sidecars, spread over all fleets and regions, or in one region.
   void Add(std::int64_t sidecars, std::int64_t region = kAllRegions);
   void End(std::int64_t region);
+  // All sidecars are told at once to ask where those of their region that are added from now on do.
+  void Reload();
   // Until all sidecars act on that generation. Throws std::runtime_error after two minutes, and Interrupted.
   void AwaitForce(std::int64_t generation);
-  // Until all sidecars have begun their watches and been given the first objects of these. Throws likewise.
+  // Until all sidecars, since they were started or reloaded, have begun their watches and been given the
+  // first objects of these. Throws likewise.
   void AwaitWatches();
   // The time passes here alone. Throws Interrupted.
   void Pass(double seconds);
@@ -67,8 +70,10 @@
   Changes ChangesSince(std::int64_t generation);
   // How long those changes took to come into force, from the times told.
   Spread Force(const Changes& changes, bool keep = false);
-  // How long sidecars took from their start to their first list.
+  // How long sidecars took from their start, or their reload, to their first list, and to the first object of
+  // the watch upon it.
   Spread Joined(std::int64_t region = kAllRegions);
+  Spread Watching();
 
   std::int64_t sidecars() const { return sidecars_; }
   static constexpr std::int64_t kAllRegions = -1;
--- a/scale/discovery_steps.hpp
+++ b/scale/discovery_steps.hpp
@@ -16,6 +16,7 @@
 std::unique_ptr<Step> MakePlayRack(Parameters& parameters);
 std::unique_ptr<Step> MakePlayRegionCut(Parameters& parameters);
 std::unique_ptr<Step> MakePlayRegionRestart(Parameters& parameters);
+std::unique_ptr<Step> MakePlayReload(Parameters& parameters);
 std::unique_ptr<Step> MakePlayRollout(Parameters& parameters);
 std::unique_ptr<Step> MakePlaySteady(Parameters& parameters);
 std::unique_ptr<Step> MakePlayZone(Parameters& parameters);
--- a/scale/fleet_process.cpp
+++ b/scale/fleet_process.cpp
@@ -18,7 +18,6 @@
 using nlohmann::json;
 
 constexpr Micros kTenthMs = 100;
-constexpr std::uint64_t kFirstLists = 2;  // the whole list, and the first object of the watch
 
 class Bins {
  public:
@@ -51,26 +50,40 @@
   json Do(const json& command) {
     const std::string what = command.at("do").get<std::string>();
     if (what == "add") return Add(command);
+    if (what == "reload") return Reload(command);
     if (what == "end") return End(command.value("region", -1));
     if (what == "status") return Status(command);
     if (what == "force") return Force(command.at("changes"), command.value("keep", false));
-    if (what == "joined") return Joined(command.value("region", -1));
+    if (what == "joined") return Times(command.value("region", -1), &HollowSidecar::first_list_after);
+    if (what == "watching") return Times(command.value("region", -1), &HollowSidecar::watching_after);
     throw std::runtime_error("unknown command " + what);
   }
 
-  json Add(const json& command) {
+  static net::Tcp::endpoint Address(const json& command) {
     const auto address = net::ParseAddress(command.at("address").get<std::string>());
     if (!address) throw std::runtime_error("no address");
+    return *address;
+  }
+
+  json Add(const json& command) {
+    const net::Tcp::endpoint address = Address(command);
     const drill::WireSettings& settings = command.value("must_subscribe", false) ? asked_ : pushed_;
     std::uint64_t seed = command.value("seed", std::uint64_t{1});
     for (auto left = command.at("sidecars").get<std::size_t>(); left > 0; --left) {
       members_.push_back({command.value("region", 0),
-                          std::make_unique<HollowSidecar>(io_, settings, *address, seed++, log_)});
+                          std::make_unique<HollowSidecar>(io_, settings, address, seed++, log_)});
       members_.back().sidecar->Start();
     }
     return {{"at_us", SteadyNow()}};
   }
 
+  json Reload(const json& command) {
+    const net::Tcp::endpoint address = Address(command);
+    for (const Member& m : members_)
+      if (m.region == command.at("region").get<int>()) m.sidecar->Reload(address);
+    return {{"at_us", SteadyNow()}};
+  }
+
   json End(int region) {
     std::erase_if(members_, [&](const Member& m) { return region < 0 || m.region == region; });
     return {{"at_us", SteadyNow()}};
@@ -81,7 +94,7 @@
     json status = OwnUsage(command.value("trim", false));
     status["sidecars"] = members_.size();
     status["settled"] = std::count_if(members_.begin(), members_.end(),
-                                      [](const Member& m) { return m.sidecar->lists() >= kFirstLists; });
+                                      [](const Member& m) { return m.sidecar->watching_after() > 0; });
     status["at"] = std::count_if(members_.begin(), members_.end(),
                                  [&](const Member& m) { return m.sidecar->generation() >= generation; });
     return status;
@@ -96,11 +109,10 @@
     return bins.Answer();
   }
 
-  json Joined(int region) const {
+  json Times(int region, Micros (HollowSidecar::*time)() const) const {
     Bins bins;
     for (const Member& m : members_)
-      if ((region < 0 || m.region == region) && m.sidecar->first_list_after() > 0)
-        bins.Add(m.sidecar->first_list_after());
+      if ((region < 0 || m.region == region) && (*m.sidecar.*time)() > 0) bins.Add((*m.sidecar.*time)());
     return bins.Answer();
   }
 
--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -61,6 +61,12 @@
   if (!settings_.settings.must_subscribe) discovery_.Watch();
 }
 
+void HollowSidecar::Reload(const net::Tcp::endpoint& discovery) {
+  started_ = SteadyNow();
+  first_list_after_ = watching_after_ = 0;
+  discovery_.Switch(discovery);
+}
+
 std::string HollowSidecar::SendOne() {
   const std::string id = std::to_string(++requests_);
   Request request;
@@ -84,8 +90,8 @@
   balancer_->OnServers(Now(), {kind, list.generation, servers});
   if (kind == ListUpdate::Kind::kStale) return;
   const Micros at = SteadyNow();
-  ++lists_;
-  if (generation_ == net::Discovery::kUnknown) first_list_after_ = std::max<Micros>(at - started_, 1);
+  if (watching_after_ == 0)  // the whole list comes first, and the first object of the watch next
+    (first_list_after_ == 0 ? first_list_after_ : watching_after_) = std::max<Micros>(at - started_, 1);
   log_.Note(std::exchange(generation_, list.generation), list.generation, at);
 }
 
--- a/scale/hollow.hpp
+++ b/scale/hollow.hpp
@@ -41,10 +41,15 @@
   HollowSidecar& operator=(const HollowSidecar&) = delete;
 
   void Start();
+  // Its configuration is read again and has that address of discovery. As in Sidecar: what it knows stays in
+  // force until it has the list from there.
+  void Reload(const net::Tcp::endpoint& discovery);
   // Of the last list that the module was given; net::Discovery::kUnknown before the first.
   std::int64_t generation() const { return generation_; }
-  std::uint64_t lists() const { return lists_; }                 // that the module was given
-  Micros first_list_after() const { return first_list_after_; }  // from Start(); 0 before it
+  // Since Start(), or the last Reload(): the time until the first list and until the first object of the
+  // watch upon it; 0 before them.
+  Micros first_list_after() const { return first_list_after_; }
+  Micros watching_after() const { return watching_after_; }
   // The server that the module sends a request to now, which is served at once; empty if it sends it nowhere.
   std::string SendOne();
 
@@ -68,9 +73,9 @@
   net::Discovery discovery_;
   std::unique_ptr<Balancer> balancer_;
   std::int64_t generation_ = net::Discovery::kUnknown;
-  Micros started_ = 0;
+  Micros started_ = 0;  // or reloaded
   Micros first_list_after_ = 0;
-  std::uint64_t lists_ = 0;
+  Micros watching_after_ = 0;
   std::uint64_t requests_ = 0;
   std::string sent_to_;
   // Guards against timers that outlive it.
--- a/scale/steps.cpp
+++ b/scale/steps.cpp
@@ -21,6 +21,7 @@
       {"play_rack", MakePlayRack},
       {"play_region_cut", MakePlayRegionCut},
       {"play_region_restart", MakePlayRegionRestart},
+      {"play_reload", MakePlayReload},
       {"play_rollout", MakePlayRollout},
       {"play_steady", MakePlaySteady},
       {"play_zone", MakePlayZone},
--- a/tests/scale/discovery_rig_test.cpp
+++ b/tests/scale/discovery_rig_test.cpp
@@ -18,17 +18,10 @@
 namespace merlinrun::scale {
 namespace {
 
-const std::set<std::string> kOwnKinds = {"change_rate",
-                                         "change_size",
-                                         "list_size",
-                                         "play_discovery_restart",
-                                         "play_rack",
-                                         "play_region_cut",
-                                         "play_region_restart",
-                                         "play_rollout",
-                                         "play_steady",
-                                         "play_zone",
-                                         "watches"};
+const std::set<std::string> kOwnKinds = {
+    "change_rate",  "change_size",     "list_size",           "play_discovery_restart",
+    "play_rack",    "play_region_cut", "play_region_restart", "play_reload",
+    "play_rollout", "play_steady",     "play_zone",           "watches"};
 
 // Two sizes, without relays and behind two, and little of everything else.
 class Small : public Parameters {
@@ -199,6 +192,49 @@
   }
 }
 
+TEST_F(RigTest, AReloadMovesEverySidecarAndBothChangesAreInForceAtAll) {
+  Small parameters;
+  StepKinds().at("play_reload")(parameters)->Run(context);
+  ASSERT_EQ(recorder.samples.size(), 4U);
+  for (const Sample& sample : recorder.samples) {
+    const double sidecars = sample.conditions.at("sidecars");
+    const bool relayed = sample.conditions.at("relays") > 0;
+    EXPECT_EQ(sample.figures.at("watching_count"), sidecars);
+    EXPECT_EQ(sample.figures.at("changes"), 2);
+    EXPECT_EQ(sample.figures.at("in_force_count"), 2 * sidecars);
+    const std::string tier = relayed ? "relay_" : "";
+    EXPECT_EQ(sample.figures.at(tier + "calls") - sample.figures.at(tier + "refused"), 2 * sidecars);
+  }
+}
+
+TEST_F(RigTest, AReloadNeedsTwoPlacesToMoveBetween) {
+  class One : public Small {
+   public:
+    explicit One(std::string key) : key_(std::move(key)) {}
+    std::int64_t Integer(const std::string& key, std::int64_t standard, std::int64_t least,
+                         std::int64_t most) override {
+      return key == key_ ? 1 : Small::Integer(key, standard, least, most);
+    }
+    std::vector<std::int64_t> Integers(const std::string& key, const std::vector<std::int64_t>& standard,
+                                       std::int64_t least, std::int64_t most) override {
+      if (key == key_) return {0, 1};
+      return Small::Integers(key, standard, least, most);
+    }
+
+   private:
+    const std::string key_;
+  };
+  for (const std::string key : {"regions", "relays"}) {
+    One parameters(key);
+    try {
+      StepKinds().at("play_reload")(parameters);
+      ADD_FAILURE() << "taken: one of " << key;
+    } catch (const ScenarioError& error) {
+      EXPECT_TRUE(std::string(error.what()).starts_with(key + ": must be ")) << error.what();
+    }
+  }
+}
+
 // The tier's processes, listeners, and memory are counted, at the largest of the numbers asked for.
 TEST_F(RigTest, RelaysAreNeedsOfTheirOwn) {
   const DiscoveryRig::Options options{300, 3, 4};
--- a/tests/scale/hollow_test.cpp
+++ b/tests/scale/hollow_test.cpp
@@ -88,6 +88,29 @@
   EXPECT_EQ(log.Times(two).size(), 4U);
 }
 
+TEST_P(HollowTest, AReloadMovesThemAndWhatTheyKnowStaysInForceMeanwhile) {
+  const auto watching = [&](const DiscoveryStandIn& at) {
+    return RunUntil(io, [&] {
+      return at.counts().watches == 4 && std::all_of(fleet.begin(), fleet.end(), [](const auto& sidecar) {
+               return sidecar->watching_after() > 0;
+             });
+    });
+  };
+  ASSERT_TRUE(watching(stand_in));
+  DiscoveryStandIn other(io, {Loopback()}, {});
+  other.SetList(MakeServers(5));
+  other.Die();
+  for (const auto& sidecar : fleet) sidecar->Reload(other.addresses()[0]);
+  ASSERT_TRUE(RunUntil(io, [&] { return stand_in.counts().watches == 0; }));
+  EXPECT_FALSE(Used().empty());
+  for (const auto& sidecar : fleet) EXPECT_EQ(sidecar->first_list_after() + sidecar->watching_after(), 0);
+  other.Return();
+  ASSERT_TRUE(watching(other));
+  const std::int64_t there = other.Change({MakeServer(0, Entry::Lifecycle::kDraining)});
+  ASSERT_TRUE(AllAt(there));
+  EXPECT_EQ(log.Times(there).size(), 4U);
+}
+
 TEST_P(HollowTest, EndWithTheirTimersAndConnections) {
   ASSERT_TRUE(AllAt(stand_in.generation()));
   fleet.clear();
--- a/tests/scale/smoke_test.cpp
+++ b/tests/scale/smoke_test.cpp
@@ -85,6 +85,7 @@
                                                {"play_steady", 1},
                                                {"play_rack", 2},
                                                {"play_zone", 1},
+                                               {"play_reload", 2},
                                                {"play_rollout", 1},
                                                {"play_region_cut", 1},
                                                {"play_region_restart", 1},
