Run the stand-in servers behind real sidecars in processes of their own

Cause: all servers of all hops and the callers shared the scale process's one thread.

Change: server stand-ins run in a few child processes (`server_processes`, 4), the servers of a hop in the same ones on both ways. Steps record how late the loop of the slowest of them handled the end of a service, beside the callers' own lateness, and the mean of the added time, which sums up over hops as the middle of skewed times does not. `chain` goes to a depth of 29 and has its figures per hop. `call_rate` can have several sidecars side by side, so that calls enough for one in a thousand take less time. `sidecars` makes its calls directly too, and counts what discovery is asked at a start. All three share their paired reading and their groups of sidecars. A sidecar's port is held until it ends: with some hundred of them a port that was only looked up was likely to be given out twice.

The tests of RealSteps, PairedRun, RemoteServers, ServerStandIn and Caller pass.

Ruled out: more processes than four; the middle does not change with twelve.

Tests: the step `sidecars` no longer has `load_s`; its test sets the keys of a paired reading in its place and asserts more figures. RunPaired takes the targets of several callers; its test passes the same ones.

--- a/scale/call_rate.cpp
+++ b/scale/call_rate.cpp
@@ -3,12 +3,10 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
-#include <random>
-#include <string>
 #include <vector>
 
-#include "paired_run.hpp"
-#include "real_sidecar.hpp"
+#include "call_plan.hpp"
+#include "real_sidecars.hpp"
 #include "service.hpp"
 
 namespace merlinrun::scale {
@@ -19,63 +17,58 @@
   explicit CallRate(Parameters& parameters)
       : rates_(parameters.Integers("calls_per_s", {10, 35, 100, 350, 1000}, 1, 5000)),
         servers_(static_cast<int>(parameters.Integer("servers", 20, 1, 200))),
-        service_(parameters.Integer("service_us", 1000, 0, 1'000'000)),
-        exponential_(parameters.Flag("exponential", false)),
-        plan_(PairedPlan::Read(parameters)) {}
+        sidecars_(parameters.Integer("sidecars", 1, 1, 20)),
+        plan_(CallPlan::Read(parameters)) {}
 
   Needs Requires() const override {
-    const std::int64_t highest = *std::max_element(rates_.begin(), rates_.end());
-    // Calls that are open at a time when all takes five times as long as the service, on both ways; each has
-    // both its ends here, and the sidecar keeps some for each server.
-    const std::int64_t open = highest * 5 * std::max<std::int64_t>(service_.count(), 1000) / 1'000'000;
+    const auto rate = static_cast<double>(*std::max_element(rates_.begin(), rates_.end()));
     const auto servers = static_cast<std::size_t>(servers_);
+    const auto sidecars = static_cast<std::size_t>(sidecars_);
+    const auto processes = static_cast<std::size_t>(plan_.server_processes);
     Needs needs;
-    needs.descriptors = 128 + 8 * servers + 6 * static_cast<std::size_t>(open);
-    needs.ports = servers + 2;
-    needs.processes = 1;
-    needs.memory_mb = 192 + 64;  // the sidecar's limit, and this process
+    // The callers here and the servers there have one end of each call, on both ways, and a sidecar both; it
+    // keeps some for each server.
+    needs.descriptors = 128 + sidecars * (8 * servers + 6 * plan_.Open(rate));
+    needs.ports = servers + 1 + sidecars + processes;
+    needs.processes = sidecars + processes;
+    // A sidecar's limit, this process and its parts.
+    needs.memory_mb = 64 + 192 * static_cast<double>(sidecars) + 16 * static_cast<double>(processes);
     return needs;
   }
 
   void Run(Context& context) override {
-    std::mt19937_64 random(context.seed);
-    for (int repeat = 0; repeat < context.repeats; ++repeat) {
-      for (const std::int64_t rate : rates_) {
-        if (context.should_stop()) return;
-        Measure(context, static_cast<double>(rate), repeat, random());
-      }
-    }
+    ForEachReading(context, rates_, [&](std::int64_t rate, int repeat, std::uint64_t seed) {
+      Measure(context, static_cast<double>(rate), repeat, seed);
+    });
   }
 
  private:
   void Measure(Context& context, double rate, int repeat, std::uint64_t seed) const {
     net::asio::io_context io(1);
-    ServerSettings server;
-    server.service = service_;
-    server.exponential = exponential_;
-    server.seed = seed;
-    const Service service(io, Alike(server, servers_));
-    RealSidecar sidecar({context.sidecar, context.scratch, "n0", service.discovery(), seed});
-    sidecar.AwaitReady(io);
+    RemoteServers servers(plan_.server_processes, context.scratch);
+    const Service service(io, servers.Open(Alike(plan_.Seeded(seed), servers_)));
+    RealSidecars sidecars(io, context, seed);
+    Ways ways;
+    for (const net::Tcp::endpoint& address : sidecars.Add(sidecars_, service.discovery())) {
+      ways.direct.push_back(service.addresses());
+      ways.through.push_back({address});
+    }
     CallerSettings caller;
     caller.calls_per_s = rate;
     caller.seed = seed;
     const PairedResult result = RunPaired(
-        io, service.addresses(), {sidecar.address()}, caller, plan_, [&] { return sidecar.cpu_us(); },
-        context.should_stop);
-    if (context.should_stop()) return;
-    Sample sample{"call_rate", {{"calls_per_s", rate}}, result.LatencyFigures(), repeat};
-    sample.figures["cpu_us_per_call"] = result.cpu_us_per_call();
-    sample.figures["idle_cpu_us_per_s"] = result.idle_cpu_us_per_s;
-    sample.figures["memory_mb"] = static_cast<double>(sidecar.rss_bytes()) / (1 << 20);
-    context.recorder.Add(std::move(sample));
+        io, ways, caller, plan_.paired, [&] { return sidecars.cpu_us(); }, context.should_stop);
+    const auto each = static_cast<double>(sidecars_);
+    Sample sample{"call_rate", {{"calls_per_s", rate}}, {}, repeat};
+    sample.figures["idle_cpu_us_per_s"] = result.idle_cpu_us_per_s / each;
+    sample.figures["memory_mb"] = static_cast<double>(sidecars.rss_bytes()) / each / (1 << 20);
+    RecordPaired(context, std::move(sample), result, servers);
   }
 
-  std::vector<std::int64_t> rates_;
-  int servers_;
-  std::chrono::microseconds service_;
-  bool exponential_;
-  PairedPlan plan_;
+  const std::vector<std::int64_t> rates_;  // of each caller
+  const int servers_;
+  const std::int64_t sidecars_;  // side by side, each with a caller: many calls in little time
+  const CallPlan plan_;
 };
 
 }  // namespace
--- a/scale/chain.cpp
+++ b/scale/chain.cpp
@@ -3,14 +3,12 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
-#include <numeric>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "paired_run.hpp"
-#include "real_sidecar.hpp"
+#include "call_plan.hpp"
+#include "real_sidecars.hpp"
 #include "service.hpp"
 
 namespace merlinrun::scale {
@@ -22,52 +20,48 @@
 // application has for its calls to the first.
 class Services {
  public:
-  Services(net::asio::io_context& io, Context& context, ServerSettings server, int width, std::int64_t depth)
-      : io_(io), context_(context), server_(std::move(server)), width_(width) {
-    for (std::int64_t hop = depth; hop > 0; --hop) {
-      AddDirect();
-      AddBehindSidecars(hop > 1 ? width_ : 1);
+  Services(net::asio::io_context& io, Context& context, RemoteServers& servers, ServerSettings server,
+           int width, std::int64_t depth)
+      : io_(io),
+        servers_(servers),
+        server_(std::move(server)),
+        width_(width),
+        sidecars_(io, context, server_.seed) {
+    for (std::int64_t hop = depth; hop > 0 && !context.should_stop(); --hop) {
+      AddDirect(hop);
+      AddBehindSidecars(hop);
     }
   }
 
   const Addresses& direct() const { return direct_entry_; }
   const Addresses& through() const { return sidecar_entry_; }
-  std::int64_t cpu_us() const {
-    return std::accumulate(sidecars_.begin(), sidecars_.end(), std::int64_t{0},
-                           [](std::int64_t sum, const auto& sidecar) { return sum + sidecar->cpu_us(); });
-  }
+  const RealSidecars& sidecars() const { return sidecars_; }
 
  private:
+  // The hop's servers are in the same processes on both ways.
+  Addresses Open(const std::vector<ServerSettings>& servers, std::int64_t hop) {
+    return servers_.Open(servers, static_cast<std::size_t>(hop * width_));
+  }
   // A service in front of what there is, called without sidecars.
-  void AddDirect() {
+  void AddDirect(std::int64_t hop) {
     std::vector<ServerSettings> servers = Alike(server_, width_);
     for (ServerSettings& settings : servers) settings.onward = direct_entry_;
-    services_.push_back(std::make_unique<Service>(io_, servers));
-    direct_entry_ = services_.back()->addresses();
+    direct_entry_ = Open(servers, hop);
   }
-  // The same, and so many sidecars for those who call it.
-  void AddBehindSidecars(int callers) {
+  // The same, and a sidecar for each of those who call it.
+  void AddBehindSidecars(std::int64_t hop) {
     std::vector<ServerSettings> servers = Alike(server_, width_);
     for (std::size_t i = 0; i < sidecar_entry_.size(); ++i) servers[i].onward = {sidecar_entry_[i]};
-    services_.push_back(std::make_unique<Service>(io_, servers));
-    const std::size_t first = sidecars_.size();
-    sidecar_entry_.clear();
-    for (int i = 0; i < callers; ++i) {
-      const std::uint64_t number = sidecars_.size();
-      sidecars_.push_back(std::make_unique<RealSidecar>(
-          SidecarOptions{context_.sidecar, context_.scratch, "n" + std::to_string(number),
-                         services_.back()->discovery(), server_.seed + number}));
-      sidecar_entry_.push_back(sidecars_.back()->address());
-    }
-    for (std::size_t i = first; i < sidecars_.size(); ++i) sidecars_[i]->AwaitReady(io_);
+    services_.push_back(std::make_unique<Service>(io_, Open(servers, hop)));
+    sidecar_entry_ = sidecars_.Add(hop > 1 ? width_ : 1, services_.back()->discovery());
   }
 
   net::asio::io_context& io_;
-  Context& context_;
+  RemoteServers& servers_;
   const ServerSettings server_;
   const int width_;
   std::vector<std::unique_ptr<Service>> services_;
-  std::vector<std::unique_ptr<RealSidecar>> sidecars_;
+  RealSidecars sidecars_;
   Addresses direct_entry_;
   Addresses sidecar_entry_;
 };
@@ -75,62 +69,60 @@
 class Chain : public Step {
  public:
   explicit Chain(Parameters& parameters)
-      : depths_(parameters.Integers("depth", {1, 2, 4, 8}, 1, 29)),
+      : depths_(parameters.Integers("depth", {1, 2, 4, 8, 16, 29}, 1, 29)),
         width_(static_cast<int>(parameters.Integer("servers_per_hop", 2, 1, 10))),
-        service_(parameters.Integer("service_us", 1000, 0, 1'000'000)),
         rate_(parameters.Number("calls_per_s", 50, 1, 1000)),
-        plan_(PairedPlan::Read(parameters)) {}
+        plan_(CallPlan::Read(parameters)) {}
 
   Needs Requires() const override {
     const auto depth = static_cast<std::size_t>(*std::max_element(depths_.begin(), depths_.end()));
     const auto width = static_cast<std::size_t>(width_);
-    const double time_s =
-        static_cast<double>(depth) * std::max<double>(static_cast<double>(service_.count()), 1000) / 1e6;
-    const auto open = static_cast<std::size_t>(rate_ * 5 * time_s);
+    const auto processes = static_cast<std::size_t>(plan_.server_processes);
+    const std::size_t sidecars = 1 + width * (depth - 1);
     Needs needs;
-    needs.processes = 1 + width * (depth - 1);
-    needs.ports = 2 * depth * (width + 1) + needs.processes;
-    // Of each open call, every hop has both ends here, on both ways; and each sidecar its watch.
-    needs.descriptors = 128 + needs.ports + needs.processes + 8 * depth * (width * width + open);
+    needs.processes = sidecars + processes;
+    needs.ports = depth * (2 * width + 1) + needs.processes;
+    // One process of servers, if all of them were in it, has of each open call both ends at every hop, on
+    // both ways; this one has discovery's end of each watch.
+    needs.descriptors = 128 + needs.ports + sidecars + 8 * depth * (width * width + plan_.Open(rate_, depth));
     needs.memory_mb = 64 + 16 * static_cast<double>(needs.processes);  // sidecars that know few servers
     return needs;
   }
 
   void Run(Context& context) override {
-    std::mt19937_64 random(context.seed);
-    for (int repeat = 0; repeat < context.repeats; ++repeat) {
-      for (const std::int64_t depth : depths_) {
-        if (context.should_stop()) return;
-        Measure(context, depth, repeat, random());
-      }
-    }
+    ForEachReading(context, depths_, [&](std::int64_t depth, int repeat, std::uint64_t seed) {
+      Measure(context, depth, repeat, seed);
+    });
   }
 
  private:
   void Measure(Context& context, std::int64_t depth, int repeat, std::uint64_t seed) const {
     net::asio::io_context io(1);
-    ServerSettings server;
-    server.service = service_;
-    server.seed = seed;
-    const Services services(io, context, server, width_, depth);
+    RemoteServers servers(plan_.server_processes, context.scratch);
+    const Services services(io, context, servers, plan_.Seeded(seed), width_, depth);
+    if (context.should_stop()) return;
     CallerSettings caller;
     caller.calls_per_s = rate_;
     caller.deadline = std::chrono::seconds(3);
     caller.seed = seed;
     const PairedResult result = RunPaired(
-        io, services.direct(), services.through(), caller, plan_, [&] { return services.cpu_us(); },
-        context.should_stop);
-    if (context.should_stop()) return;
-    Sample sample{"chain", {{"depth", static_cast<double>(depth)}}, result.LatencyFigures(), repeat};
-    sample.figures["cpu_us_per_call"] = result.cpu_us_per_call();  // of all sidecars on the way
-    context.recorder.Add(std::move(sample));
+        io, {{services.direct()}, {services.through()}}, caller, plan_.paired,
+        [&] { return services.sidecars().cpu_us(); }, context.should_stop);
+    const auto hops = static_cast<double>(depth);
+    Sample sample{"chain", {{"depth", hops}}, result.Figures(), repeat};
+    // "cpu_us_per_call" is that of all sidecars on the way.
+    for (const char* figure : {"cpu_us_per_call", "added_mean_ms", "added_p50_ms", "added_p99_ms"}) {
+      const auto whole = sample.figures.find(figure);
+      if (whole != sample.figures.end())
+        sample.figures[std::string(figure) + "_per_hop"] = whole->second / hops;
+    }
+    RecordPaired(context, std::move(sample), result, servers);
   }
 
-  std::vector<std::int64_t> depths_;
-  int width_;
-  std::chrono::microseconds service_;
-  double rate_;
-  PairedPlan plan_;
+  const std::vector<std::int64_t> depths_;
+  const int width_;
+  const double rate_;
+  const CallPlan plan_;
 };
 
 }  // namespace
--- a/scale/control.hpp
+++ b/scale/control.hpp
@@ -22,6 +22,7 @@
 
 inline constexpr const char* kDiscoveryProcess = "stand-in-discovery";
 inline constexpr const char* kFleetProcess = "hollow-fleet";
+inline constexpr const char* kServerProcess = "stand-in-servers";
 
 // One clock for all processes of the machine, in microseconds.
 Micros SteadyNow();
--- a/scale/discovery_process.cpp
+++ b/scale/discovery_process.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "address.hpp"
 #include "control.hpp"
 #include "discovery_stand_in.hpp"
 #include "server_list.hpp"
@@ -76,8 +77,7 @@
     stand_in_ = std::make_unique<DiscoveryStandIn>(io_, listen, options);
     SetList(command.value("listed", std::int64_t{0}));
     json addresses = json::array();
-    for (const Tcp::endpoint& address : stand_in_->addresses())
-      addresses.push_back(address.address().to_string() + ":" + std::to_string(address.port()));
+    for (const Tcp::endpoint& address : stand_in_->addresses()) addresses.push_back(AddressText(address));
     return {{"addresses", addresses}, {"generation", stand_in_->generation()}};
   }
 
--- a/scale/latency.cpp
+++ b/scale/latency.cpp
@@ -20,14 +20,20 @@
   const double us = static_cast<double>(latency.count()) / 1000.0;
   histogram_(std::clamp(us, kLeastUs, std::nextafter(kMostUs, 0.0)));
   ++count_;
+  sum_ += latency;
 }
 
 LatencyHistogram& LatencyHistogram::operator+=(const LatencyHistogram& other) {
   histogram_ += other.histogram_;
   count_ += other.count_;
+  sum_ += other.sum_;
   return *this;
 }
 
+double LatencyHistogram::MeanMs() const {
+  return std::chrono::duration<double, std::milli>(sum_).count() / static_cast<double>(count_);
+}
+
 double LatencyHistogram::QuantileMs(double share) const {
   if (count_ == 0) return std::numeric_limits<double>::quiet_NaN();
   const double rank = std::max(1.0, std::ceil(share * static_cast<double>(count_)));
--- a/scale/latency.hpp
+++ b/scale/latency.hpp
@@ -23,6 +23,7 @@
   // Milliseconds below or at which this share (0 to 1) of the latencies lies, to 0.5%; not a number if there
   // are none.
   double QuantileMs(double share) const;
+  double MeanMs() const;  // exact; not a number if there are none
 
  private:
   using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
@@ -30,6 +31,7 @@
 
   Histogram histogram_;
   std::uint64_t count_ = 0;
+  std::chrono::nanoseconds sum_{};
 };
 
 }  // namespace merlinrun::scale
--- a/scale/paired_run.cpp
+++ b/scale/paired_run.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <memory>
 #include <stdexcept>
 
 #include "loop.hpp"
@@ -9,7 +10,6 @@
 namespace merlinrun::scale {
 namespace {
 
-constexpr double kMostUnserved = 0.001;  // of the calls of either way
 constexpr auto kAfterStart = std::chrono::milliseconds(500);
 // From when the last call was due to its end: a machine that stalls for longer gives no reading.
 constexpr auto kLongestRest = std::chrono::seconds(30);
@@ -20,14 +20,35 @@
 };
 constexpr Quantile kQuantiles[] = {{"p50", 0.5}, {"p99", 0.99}, {"p999", 0.999}};
 
-// One turn, to the end of its last call.
-void Play(net::asio::io_context& io, Caller& caller, std::chrono::duration<double> length) {
-  const auto time = std::chrono::duration_cast<std::chrono::nanoseconds>(length);
-  caller.Start(time);
-  if (!RunUntil(
-          io, [&] { return caller.done(); }, time + kLongestRest))
-    throw std::runtime_error("calls did not end in time");
-}
+class Callers {
+ public:
+  Callers(net::asio::io_context& io, const std::vector<Ways::Targets>& targets, CallerSettings settings)
+      : io_(io) {
+    for (const Ways::Targets& own : targets) {
+      callers_.push_back(std::make_unique<Caller>(io, own, settings));
+      ++settings.seed;
+    }
+  }
+
+  // One turn, to the end of its last call.
+  void Play(std::chrono::duration<double> length) {
+    const auto time = std::chrono::duration_cast<std::chrono::nanoseconds>(length);
+    for (const auto& caller : callers_) caller->Start(time);
+    const auto done = [&] {
+      return std::all_of(callers_.begin(), callers_.end(), [](const auto& caller) { return caller->done(); });
+    };
+    if (!RunUntil(io_, done, time + kLongestRest)) throw std::runtime_error("calls did not end in time");
+  }
+  CallResults Take() {
+    CallResults all;
+    for (const auto& caller : callers_) all += caller->Take();
+    return all;
+  }
+
+ private:
+  net::asio::io_context& io_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+};
 
 // Microseconds a second, once what belongs to the start is over.
 double IdleCpu(net::asio::io_context& io, std::chrono::duration<double> length,
@@ -41,9 +62,9 @@
 
 }  // namespace
 
-void CheckServed(const std::string& way, const CallCounts& counts) {
+void CheckServed(const std::string& way, const CallCounts& counts, double most_unserved) {
   const auto unserved = static_cast<double>(counts.sent - counts.served);
-  if (counts.sent > 0 && unserved <= kMostUnserved * static_cast<double>(counts.sent)) return;
+  if (counts.sent > 0 && unserved <= most_unserved * static_cast<double>(counts.sent)) return;
   throw std::runtime_error(way + ": of " + std::to_string(counts.sent) + " calls " +
                            std::to_string(counts.refused) + " were refused, " +
                            std::to_string(counts.failed) + " failed and " +
@@ -62,13 +83,11 @@
   return std::max(2, static_cast<int>(std::ceil(static_cast<double>(calls) / (calls_per_s * slice.count()))));
 }
 
-double PairedResult::cpu_us_per_call() const {
-  return (static_cast<double>(cpu_us) - idle_cpu_us_per_s * time.count()) /
-         static_cast<double>(through.counts.sent);
-}
-
-std::map<std::string, double> PairedResult::LatencyFigures() const {
+std::map<std::string, double> PairedResult::Figures() const {
   std::map<std::string, double> figures;
+  figures["cpu_us_per_call"] = (static_cast<double>(cpu_us) - idle_cpu_us_per_s * time.count()) /
+                               static_cast<double>(through.counts.sent);
+  figures["added_mean_ms"] = through.latency.MeanMs() - direct.latency.MeanMs();
   const double calls = static_cast<double>(std::min(direct.latency.count(), through.latency.count()));
   for (const auto& [name, share] : kQuantiles) {
     if (calls * (1 - share) < 10) continue;
@@ -87,24 +106,24 @@
   return figures;
 }
 
-PairedResult RunPaired(net::asio::io_context& io, const std::vector<net::Tcp::endpoint>& direct,
-                       const std::vector<net::Tcp::endpoint>& through, const CallerSettings& settings,
+PairedResult RunPaired(net::asio::io_context& io, const Ways& ways, const CallerSettings& settings,
                        const PairedPlan& plan, const std::function<std::int64_t()>& cpu_us,
                        const std::function<bool()>& should_stop) {
   PairedResult result;
   result.idle_cpu_us_per_s = IdleCpu(io, plan.idle, cpu_us);
-  Caller without(io, direct, settings);
-  Caller with(io, through, settings);
+  Callers without(io, ways.direct, settings);
+  Callers with(io, ways.through, settings);
+  const double calls_per_s = settings.calls_per_s * static_cast<double>(ways.through.size());
   // Connections and what is learnt of the servers come up first.
-  for (Caller* const caller : {&without, &with}) {
-    Play(io, *caller, std::max(plan.slice, std::chrono::duration<double>(10 / settings.calls_per_s)));
-    caller->Take();
+  for (Callers* const callers : {&without, &with}) {
+    callers->Play(std::max(plan.slice, std::chrono::duration<double>(10 / settings.calls_per_s)));
+    callers->Take();
   }
   const Clock::time_point start = Clock::now();
   const std::int64_t before = cpu_us();
-  for (int turn = 0; turn < plan.Turns(settings.calls_per_s) && !should_stop(); ++turn) {
-    Play(io, without, plan.slice);
-    Play(io, with, plan.slice);
+  for (int turn = 0; turn < plan.Turns(calls_per_s) && !should_stop(); ++turn) {
+    without.Play(plan.slice);
+    with.Play(plan.slice);
   }
   result.cpu_us = cpu_us() - before;
   result.time = Clock::now() - start;
--- a/scale/paired_run.hpp
+++ b/scale/paired_run.hpp
@@ -25,7 +25,14 @@
 
   // Reads "slice_s", "idle_s" and "calls_per_reading".
   static PairedPlan Read(Parameters& parameters);
-  int Turns(double calls_per_s) const;  // of either
+  int Turns(double calls_per_s) const;  // of either, for the rate of all callers together
+};
+
+// Where calls go on either way: the targets of each caller.
+struct Ways {
+  using Targets = std::vector<net::Tcp::endpoint>;
+  std::vector<Targets> direct;
+  std::vector<Targets> through;
 };
 
 struct PairedResult {
@@ -37,20 +44,19 @@
   std::int64_t cpu_us = 0;
   std::chrono::duration<double> time{};
 
-  double cpu_us_per_call() const;  // less what they would have used without calls
-  // What the way through sidecars adds to quantiles, those of either way, and the callers' own lateness. A
-  // quantile that fewer than ten calls lie above is left out.
-  std::map<std::string, double> LatencyFigures() const;
+  // "cpu_us_per_call", less what they would have used without calls; what the way through sidecars adds to
+  // the mean and to quantiles, those of either way, and the callers' own lateness. A quantile that fewer than
+  // ten calls lie above is left out.
+  std::map<std::string, double> Figures() const;
 };
 
-// Throws std::runtime_error if there was no call, or more than one in a thousand got no 200: what is measured
-// of the others would not be the whole.
-void CheckServed(const std::string& way, const CallCounts& counts);
+// Throws std::runtime_error if there was no call, or more than that share of them got no 200: what is
+// measured of the others would not be the whole.
+void CheckServed(const std::string& way, const CallCounts& counts, double most_unserved = 0.001);
 
-// Callers of one schedule. Throws as CheckServed for either way; ends early, with less, once `should_stop`
-// holds.
-PairedResult RunPaired(net::asio::io_context& io, const std::vector<net::Tcp::endpoint>& direct,
-                       const std::vector<net::Tcp::endpoint>& through, const CallerSettings& settings,
+// Callers of both ways have the same schedules, the n-th of each way that of the settings' seed + n. Throws
+// as CheckServed for either way; ends early, with less, once `should_stop` holds.
+PairedResult RunPaired(net::asio::io_context& io, const Ways& ways, const CallerSettings& settings,
                        const PairedPlan& plan, const std::function<std::int64_t()>& cpu_us,
                        const std::function<bool()>& should_stop);
 
--- a/scale/real_sidecar.cpp
+++ b/scale/real_sidecar.cpp
@@ -1,11 +1,13 @@
 #include "real_sidecar.hpp"
 
+#include <csignal>
 #include <fstream>
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <stdexcept>
 
+#include "address.hpp"
 #include "client_pool.hpp"
 #include "loop.hpp"
 #include "server_list.hpp"
@@ -16,17 +18,6 @@
 constexpr auto kLongestStart = std::chrono::seconds(30);  // clients of a scored day wait no longer
 constexpr auto kBetweenAsks = std::chrono::milliseconds(10);
 
-std::string Text(const net::Tcp::endpoint& address) {
-  return address.address().to_string() + ":" + std::to_string(address.port());
-}
-
-// Nothing else asks for this port between here and the sidecar's start but by chance.
-net::Tcp::endpoint FreeAddress() {
-  net::asio::io_context io;
-  const net::Tcp::acceptor probe(io, {net::asio::ip::make_address("127.0.0.1"), 0});
-  return probe.local_endpoint();
-}
-
 std::string Hex(std::uint64_t seed) {
   std::ostringstream text;
   text << std::hex << std::setw(16) << std::setfill('0') << seed;
@@ -36,33 +27,59 @@
 // With the limits of a scored day.
 nlohmann::json Configuration(const SidecarOptions& options, const net::Tcp::endpoint& listen) {
   return {{"name", options.name},
-          {"listen", Text(listen)},
-          {"discovery", Text(options.discovery)},
+          {"listen", AddressText(listen)},
+          {"discovery", AddressText(options.discovery)},
           {"seed", Hex(options.seed)},
           {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
           {"settings", MakeSettingsJson(false)}};
 }
 
+std::filesystem::path ConfigurationFile(const SidecarOptions& options) {
+  return options.scratch / (options.name + ".json");
+}
+
 }  // namespace
 
-RealSidecar::RealSidecar(const SidecarOptions& options) : name_(options.name), address_(FreeAddress()) {
-  const std::filesystem::path file = options.scratch / (name_ + ".json");
-  std::ofstream(file) << Configuration(options, address_).dump();
+// Not listening, and both sides let the address be used again: the sidecar can listen there all the same, and
+// what asks for any free port does not get this one.
+RealSidecar::Reserved::Reserved(net::asio::io_context& io) : holder(io, net::Tcp::v4()) {
+  holder.set_option(net::Tcp::acceptor::reuse_address(true));
+  holder.bind({net::asio::ip::make_address("127.0.0.1"), 0});
+  address = holder.local_endpoint();
+}
+
+RealSidecar::RealSidecar(const SidecarOptions& options) : options_(options), listen_(unused_) {
+  if (options_.management) management_.emplace(unused_);
+  WriteConfiguration();
   Child::Options child;
-  child.program = options.program;
+  child.program = options_.program;
   // What the environment says goes before the file.
-  child.environment = {"EDGE_CONFIG=" + file.string(),
-                       "EDGE_LISTEN=" + Text(address_),
-                       "EDGE_DISCOVERY=" + Text(options.discovery),
-                       "EDGE_MGMT=",
+  child.environment = {"EDGE_CONFIG=" + ConfigurationFile(options_).string(),
+                       "EDGE_LISTEN=" + AddressText(address()),
+                       "EDGE_DISCOVERY=" + AddressText(options_.discovery),
+                       "EDGE_MGMT=" + (management_ ? AddressText(management()) : ""),
                        "EDGE_ACCEPT_FD=",
                        "TMPDIR="};
-  child.log = options.scratch / (name_ + ".log");
+  child.log = options_.scratch / (options_.name + ".log");
   child_ = std::make_unique<Child>(child);
 }
 
+// The file is there whole or not at all.
+void RealSidecar::WriteConfiguration() const {
+  const std::filesystem::path file = ConfigurationFile(options_);
+  const std::filesystem::path next = file.string() + ".next";
+  std::ofstream(next) << Configuration(options_, address()).dump();
+  std::filesystem::rename(next, file);
+}
+
+void RealSidecar::Reload(const net::Tcp::endpoint& discovery) {
+  options_.discovery = discovery;
+  WriteConfiguration();
+  child_->Signal(SIGHUP);
+}
+
 void RealSidecar::AwaitReady(net::asio::io_context& io) {
-  ClientPool pool(io, {address_});
+  ClientPool pool(io, {address()});
   const auto end = Clock::now() + kLongestStart;
   while (Clock::now() < end) {
     unsigned status = 0;
@@ -77,10 +94,11 @@
         io, [&] { return answered; }, kLongestStart + kBetweenAsks);
     if (status == 200) return;
     if (const auto ended = child_->Wait(std::chrono::milliseconds(0)))
-      throw std::runtime_error("sidecar " + name_ + " ended with wait status " + std::to_string(*ended));
+      throw std::runtime_error("sidecar " + options_.name + " ended with wait status " +
+                               std::to_string(*ended));
     RunFor(io, kBetweenAsks);
   }
-  throw std::runtime_error("sidecar " + name_ + " was not ready in time");
+  throw std::runtime_error("sidecar " + options_.name + " was not ready in time");
 }
 
 }  // namespace merlinrun::scale
--- a/scale/run_as_child.cpp
+++ b/scale/run_as_child.cpp
@@ -14,6 +14,7 @@
 #include "control.hpp"
 #include "discovery_process.hpp"
 #include "fleet_process.hpp"
+#include "server_process.hpp"
 
 namespace merlinrun::scale {
 namespace {
@@ -47,6 +48,8 @@
       status = RunDiscoveryProcess(port);
     } else if (kind == kFleetProcess) {
       status = RunFleetProcess(port);
+    } else if (kind == kServerProcess) {
+      status = RunServerProcess(port);
     }
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s: %s\n", argv[4], error.what());
--- a/scale/server_stand_in.cpp
+++ b/scale/server_stand_in.cpp
@@ -89,7 +89,10 @@
     if (time.count() == 0) return Worked();
     timer_.expires_after(time);
     timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
-      if (!stopped) self->Worked();
+      if (stopped) return;
+      if (LatencyHistogram* const lateness = self->state_->settings.lateness.get())
+        lateness->Add(Clock::now() - self->timer_.expiry());
+      self->Worked();
     });
   }
   // Before its work has begun.
@@ -240,6 +243,15 @@
   return text.data();
 }
 
+ServerCounts& ServerCounts::operator+=(const ServerCounts& other) {
+  taken += other.taken;
+  served += other.served;
+  declined += other.declined;
+  failed += other.failed;
+  invalid += other.invalid;
+  return *this;
+}
+
 ServerStandIn::ServerStandIn(asio::io_context& io, ServerSettings settings)
     : state_(std::make_shared<State>(io, std::move(settings))) {
   state_->Accept();
--- a/scale/server_stand_in.hpp
+++ b/scale/server_stand_in.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <vector>
 
+#include "latency.hpp"
 #include "net/protocol.hpp"
 
 namespace merlinrun::scale {
@@ -27,6 +28,8 @@
   std::uint64_t seed = 1;
   // Where a request goes once its own work is done, in turn; none = it is answered then.
   std::vector<net::Tcp::endpoint> onward = {};
+  // Takes how late each end of a service was handled: the loop's own part of the time. May be null.
+  std::shared_ptr<LatencyHistogram> lateness = nullptr;
 };
 
 struct ServerCounts {
@@ -35,6 +38,8 @@
   std::uint64_t declined = 0;  // turned away, never begun
   std::uint64_t failed = 0;    // begun, and the call onward had no good answer
   std::uint64_t invalid = 0;   // 404: no Req-Id
+
+  ServerCounts& operator+=(const ServerCounts& other);
 };
 
 class ServerStandIn {
--- a/scale/service.cpp
+++ b/scale/service.cpp
@@ -1,27 +1,33 @@
 #include "service.hpp"
 
-#include <string>
+#include <utility>
 
+#include "address.hpp"
 #include "server_list.hpp"
 
 namespace merlinrun::scale {
 
+std::vector<Entry> Listed(const std::vector<net::Tcp::endpoint>& addresses) {
+  std::vector<Entry> list;
+  for (const net::Tcp::endpoint& address : addresses) {
+    list.push_back(MakeServer(static_cast<std::int64_t>(list.size())));
+    list.back().host_port = AddressText(address);
+  }
+  return list;
+}
+
 Service::Service(net::asio::io_context& io, const std::vector<ServerSettings>& servers)
     : discovery_(io, {{net::asio::ip::make_address("127.0.0.1"), 0}}, {}) {
-  std::vector<Entry> list;
   for (const ServerSettings& settings : servers) {
     servers_.push_back(std::make_unique<ServerStandIn>(io, settings));
-    const net::Tcp::endpoint address = servers_.back()->address();
-    list.push_back(MakeServer(static_cast<std::int64_t>(list.size())));
-    list.back().host_port = address.address().to_string() + ":" + std::to_string(address.port());
+    addresses_.push_back(servers_.back()->address());
   }
-  discovery_.SetList(list);
+  discovery_.SetList(Listed(addresses_));
 }
 
-std::vector<net::Tcp::endpoint> Service::addresses() const {
-  std::vector<net::Tcp::endpoint> addresses;
-  for (const auto& server : servers_) addresses.push_back(server->address());
-  return addresses;
+Service::Service(net::asio::io_context& io, std::vector<net::Tcp::endpoint> addresses)
+    : addresses_(std::move(addresses)), discovery_(io, {{net::asio::ip::make_address("127.0.0.1"), 0}}, {}) {
+  discovery_.SetList(Listed(addresses_));
 }
 
 std::vector<ServerSettings> Alike(const ServerSettings& settings, int count) {
--- a/tests/scale/caller_test.cpp
+++ b/tests/scale/caller_test.cpp
@@ -105,9 +105,11 @@
 TEST(LatencyHistogramTest, QuantilesAreExactToHalfAPercent) {
   LatencyHistogram histogram;
   EXPECT_TRUE(std::isnan(histogram.QuantileMs(0.5)));
+  EXPECT_TRUE(std::isnan(histogram.MeanMs()));
   for (int ms = 1; ms <= 1000; ++ms) histogram.Add(std::chrono::milliseconds(ms));
   histogram += histogram;
   EXPECT_EQ(histogram.count(), 2000u);
+  EXPECT_DOUBLE_EQ(histogram.MeanMs(), 500.5);
   EXPECT_NEAR(histogram.QuantileMs(0.5), 500, 2.5);
   EXPECT_NEAR(histogram.QuantileMs(0.99), 990, 5);
   EXPECT_NEAR(histogram.QuantileMs(0.999), 999, 5);
--- a/tests/scale/real_steps_test.cpp
+++ b/tests/scale/real_steps_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cmath>
 #include <filesystem>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <string>
@@ -12,6 +13,7 @@
 #include "scale/loop.hpp"
 #include "scale/paired_run.hpp"
 #include "scale/real_sidecar.hpp"
+#include "scale/scenario.hpp"
 #include "scale/service.hpp"
 #include "scale/step.hpp"
 
@@ -101,7 +103,11 @@
   ASSERT_EQ(samples.size(), 2u);
   EXPECT_EQ(samples[1].conditions, (std::map<std::string, double>{{"depth", 3}}));
   for (const Sample& sample : samples) {
-    ExpectFigures(sample, {"added_p50_ms", "direct_p50_ms", "cpu_us_per_call"});
+    ExpectFigures(sample, {"added_p50_ms", "direct_p50_ms", "cpu_us_per_call", "added_mean_ms",
+                           "server_late_p99_ms", "caller_late_p50_ms"});
+    for (const char* figure : {"added_p50_ms", "added_mean_ms", "cpu_us_per_call"})
+      EXPECT_DOUBLE_EQ(sample.figures.at(std::string(figure) + "_per_hop"),
+                       sample.figures.at(figure) / sample.conditions.at("depth"));
     EXPECT_EQ(sample.figures.at("unserved_calls"), 0);
   }
 }
@@ -119,13 +125,47 @@
 }
 
 TEST_F(RealStepsTest, SidecarsAreLoadedAllAtOnce) {
-  const auto samples = Play("sidecars", {{"load_s", 0.5}, {"servers", 3}, {"calls_per_s", 40}}, {1, 3});
+  const auto samples = Play(
+      "sidecars",
+      {{"slice_s", 0.3}, {"idle_s", 0.1}, {"calls_per_reading", 60}, {"servers", 3}, {"calls_per_s", 40}},
+      {1, 4});
   ASSERT_EQ(samples.size(), 2u);
-  ExpectFigures(samples[1], {"memory_bytes_per_sidecar", "cpu_us_per_s_per_sidecar"});
-  EXPECT_EQ(samples[1].figures.at("unserved_calls"), 0);
+  for (const Sample& sample : samples) {
+    ExpectFigures(sample, {"memory_bytes_per_sidecar", "cpu_us_per_s_per_sidecar", "cpu_us_per_call",
+                           "idle_cpu_us_per_s_per_sidecar", "added_p50_ms", "direct_p50_ms",
+                           "discovery_bytes_out_per_start"});
+    EXPECT_EQ(sample.figures.at("unserved_calls"), 0);
+    EXPECT_EQ(sample.figures.at("discovery_watches"), sample.conditions.at("sidecars"));
+  }
   EXPECT_GT(samples[1].figures.at("calls"), samples[0].figures.at("calls"));
 }
 
+TEST_F(RealStepsTest, CallersSideBySideEachHaveASidecar) {
+  const auto samples = Play(
+      "call_rate",
+      {{"slice_s", 0.3}, {"idle_s", 0.1}, {"calls_per_reading", 60}, {"servers", 3}, {"sidecars", 3}}, {100});
+  ASSERT_EQ(samples.size(), 1u);
+  EXPECT_GT(samples[0].figures.at("calls"), 100);  // 180 are expected
+  EXPECT_EQ(samples[0].figures.at("unserved_calls"), 0);
+}
+
+TEST_F(RealStepsTest, BadSizesAreToldWithFileAndKeyBeforeAnythingStarts) {
+  const std::filesystem::path file = scratch / "bad.toml";
+  for (const std::string kind : {"sidecars"}) {
+    for (const std::string sizes : {"[2, 251]", "[0]", "[]", "\"many\""}) {
+      std::ofstream(file) << "name = \"bad\"\n[[step]]\nkind = \"" + kind + "\"\nsidecars = " + sizes + "\n";
+      try {
+        LoadScenario(file, StepKinds(), {});
+        ADD_FAILURE() << kind << " takes " << sizes;
+      } catch (const ScenarioError& error) {
+        const std::string what = error.what();
+        EXPECT_EQ(what.find(file.string() + ": step[1].sidecars: "), 0u) << what;
+        EXPECT_EQ(what.find('\n'), std::string::npos) << what;
+      }
+    }
+  }
+}
+
 TEST_F(RealStepsTest, AnInterruptedStepRecordsNoHalfReading) {
   stop = true;
   for (const char* kind : {"call_rate", "chain", "hollow_and_real", "sidecars"})
@@ -174,7 +214,7 @@
   plan.idle = std::chrono::milliseconds(100);
   plan.calls = 20;
   EXPECT_THROW(RunPaired(
-                   io, service.addresses(), service.addresses(), settings, plan, [] { return 0; },
+                   io, {{service.addresses()}, {service.addresses()}}, settings, plan, [] { return 0; },
                    [] { return false; }),
                std::runtime_error);
 }
