Measure a change of configuration at many real sidecars: the step reload

Cause: nothing in the scale run showed what a new configuration costs, how long real sidecars take to follow it, or whether calls are lost meanwhile.

Change: N sidecars under calls are given a configuration file that names another discovery, and SIGHUP. Recorded: until each watches there and until a change made there is in force at each (asked of its operators' door, every 25 ms), processor time of a reload beyond that of the calls, what discovery is asked, watches left behind, and calls that were not served: one is enough for the step to fail, after its reading is recorded. Callers can be stopped.

--- a/scale/caller.cpp
+++ b/scale/caller.cpp
@@ -38,6 +38,11 @@
   Wait();
 }
 
+void Caller::Stop() {
+  scheduling_ = false;
+  timer_.cancel();
+}
+
 CallResults Caller::Take() { return std::exchange(results_, {}); }
 
 Clock::duration Caller::DrawGap() {
@@ -54,7 +59,7 @@
   }
   timer_.expires_at(next_);
   timer_.async_wait([this](net::ErrorCode stopped) {
-    if (!stopped) SendDue();
+    if (!stopped && scheduling_) SendDue();  // it may have been due as it was stopped
   });
 }
 
--- a/scale/caller.hpp
+++ b/scale/caller.hpp
@@ -54,6 +54,7 @@
 
   // Draws a schedule from now on for so long, and keeps it. One at a time.
   void Start(std::chrono::nanoseconds length);
+  void Stop();  // the rest of the schedule is not played; calls that are open go on
   // The schedule has been played, and each of its calls has ended.
   bool done() const { return !scheduling_ && results_.counts.sent == results_.counts.ended(); }
   const CallResults& results() const { return results_; }
--- /dev/null
+++ b/scale/reload.cpp
@@ -0,0 +1,191 @@
+#include "reload.hpp"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "call_plan.hpp"
+#include "known_servers.hpp"
+#include "loop.hpp"
+#include "real_sidecars.hpp"
+#include "service.hpp"
+
+namespace merlinrun::scale {
+namespace {
+
+constexpr auto kLongest = std::chrono::seconds(30);  // until all follow, and until the change is in force
+constexpr std::size_t kEnoughForP99 = 100;
+
+std::chrono::nanoseconds Nanoseconds(std::chrono::duration<double> time) {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(time);
+}
+
+// Times from one start, one for each sidecar.
+class Times {
+ public:
+  void Begin() { start_ = Clock::now(); }
+  void Add() { times_.push_back(Clock::now() - start_); }
+  std::size_t count() const { return times_.size(); }
+  Clock::duration since_start() const { return Clock::now() - start_; }
+  void Record(const std::string& name, std::map<std::string, double>& figures) const {
+    figures[name + "_p50_ms"] = Ms(0.5);
+    if (count() >= kEnoughForP99) figures[name + "_p99_ms"] = Ms(0.99);
+    figures[name + "_last_ms"] = Ms(1);
+  }
+
+ private:
+  double Ms(double share) const {  // they were added in their order
+    const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(times_.size())));
+    return std::chrono::duration<double, std::milli>(times_.at(rank - 1)).count();
+  }
+
+  Clock::time_point start_;
+  std::vector<Clock::duration> times_;
+};
+
+class Reload : public Step {
+ public:
+  explicit Reload(Parameters& parameters)
+      : counts_(parameters.Integers("sidecars", {2, 8, 32, 128, 200}, 1, 250)),
+        servers_(static_cast<int>(parameters.Integer("servers", 20, 1, 200))),
+        rate_(parameters.Number("calls_per_s", 5, 0.1, 1000)),
+        load_(parameters.Number("load_s", 1, 0.2, 600)),
+        server_processes_(static_cast<int>(parameters.Integer("server_processes", 4, 1, 16))) {}
+
+  Needs Requires() const override {
+    const auto most = static_cast<std::size_t>(*std::max_element(counts_.begin(), counts_.end()));
+    const auto servers = static_cast<std::size_t>(servers_);
+    const auto processes = static_cast<std::size_t>(server_processes_);
+    const std::size_t open = CallPlan{}.Open(rate_);
+    Needs needs;
+    // Of each sidecar this process holds what RealSidecar does, both watches, the door and the caller; the
+    // servers the other ends.
+    needs.descriptors = 128 + most * (12 + servers + 2 * open);
+    needs.ports = servers + 3 + 2 * most + processes;
+    needs.processes = most + processes;
+    needs.memory_mb = 128 + 16 * static_cast<double>(needs.processes);  // sidecars that know few servers
+    return needs;
+  }
+
+  void Run(Context& context) override {
+    ForEachReading(context, counts_, [&](std::int64_t count, int repeat, std::uint64_t seed) {
+      Measure(context, count, repeat, seed);
+    });
+  }
+
+ private:
+  // Runs for `load_`, and returns the processor time used in it.
+  double Use(net::asio::io_context& io, const RealSidecars& sidecars) const {
+    const std::int64_t before = sidecars.cpu_us();
+    RunFor(io, Nanoseconds(load_));
+    return static_cast<double>(sidecars.cpu_us() - before);
+  }
+
+  void Measure(Context& context, std::int64_t count, int repeat, std::uint64_t seed) const {
+    net::asio::io_context io(1);
+    RemoteServers servers(server_processes_, context.scratch);
+    ServerSettings server;
+    server.seed = seed;
+    // Both list the same servers: no call has to change its way. The last one comes with the change.
+    std::vector<net::Tcp::endpoint> addresses = servers.Open(Alike(server, servers_ + 1));
+    const Entry change = Listed(addresses).back();
+    addresses.pop_back();
+    const Service before(io, addresses);
+    Service after(io, addresses);
+    RealSidecars sidecars(io, context, seed, /*management=*/true);
+    sidecars.Add(count, before.discovery());
+    if (context.should_stop()) return;
+    const auto all = static_cast<std::size_t>(count);
+
+    std::vector<std::unique_ptr<Caller>> callers = StartCallers(io, sidecars, seed);
+    RunFor(io, Nanoseconds(load_));  // connections come up first
+    const double usual = Use(io, sidecars);
+    Times watching;
+    const std::int64_t cpu_before = sidecars.cpu_us();
+    watching.Begin();
+    sidecars.Reload(after.discovery());
+    Await(io, context, "follow the new address", [&] {
+      while (watching.count() < after.counts().watches) watching.Add();
+      return watching.count() >= all;
+    });
+    RunFor(io, Nanoseconds(load_));  // what belongs to the reload may come after the watch
+    const std::chrono::duration<double> span = watching.since_start();
+    const double used = static_cast<double>(sidecars.cpu_us() - cpu_before);
+
+    Times in_force;
+    in_force.Begin();
+    after.Change({change});
+    {
+      const KnownServersWatch watch(io, Doors(sidecars), addresses.size() + 1, [&] { in_force.Add(); });
+      Await(io, context, "act on the change", [&] { return in_force.count() >= all; });
+    }
+    for (const auto& caller : callers) caller->Stop();
+    Await(io, context, "end their calls", [&] {
+      return std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return caller->done(); });
+    });
+    if (context.should_stop()) return;
+    CallResults calls;
+    for (const auto& caller : callers) calls += caller->results();
+
+    const auto each = static_cast<double>(count);
+    Sample sample{"reload", {{"sidecars", each}}, {}, repeat};
+    watching.Record("watching", sample.figures);
+    in_force.Record("in_force", sample.figures);
+    const std::uint64_t lost = calls.counts.sent - calls.counts.served;
+    sample.figures["cpu_us_per_reload"] = (used - usual * (span / load_)) / each;
+    sample.figures["calls"] = static_cast<double>(calls.counts.sent);
+    sample.figures["unserved_calls"] = static_cast<double>(lost);
+    sample.figures["watches"] = static_cast<double>(after.counts().watches);
+    sample.figures["watches_left_behind"] = static_cast<double>(before.counts().watches);
+    sample.figures["discovery_calls_per_reload"] = static_cast<double>(after.counts().calls) / each;
+    sample.figures["discovery_bytes_out_per_reload"] = static_cast<double>(after.counts().bytes_out) / each;
+    context.recorder.Add(std::move(sample));
+    if (lost > 0) CheckServed("during a reload", calls.counts, /*most_unserved=*/0);
+  }
+
+  std::vector<std::unique_ptr<Caller>> StartCallers(net::asio::io_context& io, const RealSidecars& sidecars,
+                                                    std::uint64_t seed) const {
+    std::vector<std::unique_ptr<Caller>> callers;
+    CallerSettings settings;
+    settings.calls_per_s = rate_;
+    settings.deadline = std::chrono::seconds(3);
+    settings.seed = seed;
+    for (const auto& sidecar : sidecars.all()) {
+      callers.push_back(
+          std::make_unique<Caller>(io, std::vector<net::Tcp::endpoint>{sidecar->address()}, settings));
+      callers.back()->Start(std::chrono::hours(1));  // until they are stopped
+      ++settings.seed;
+    }
+    return callers;
+  }
+
+  static std::vector<net::Tcp::endpoint> Doors(const RealSidecars& sidecars) {
+    std::vector<net::Tcp::endpoint> doors;
+    for (const auto& sidecar : sidecars.all()) doors.push_back(sidecar->management());
+    return doors;
+  }
+
+  static void Await(net::asio::io_context& io, const Context& context, const std::string& what,
+                    const std::function<bool()>& done) {
+    if (!RunUntil(
+            io, [&] { return context.should_stop() || done(); }, kLongest))
+      throw std::runtime_error("not all sidecars " + what + " in time");
+  }
+
+  const std::vector<std::int64_t> counts_;
+  const int servers_;
+  const double rate_;  // of each
+  const std::chrono::duration<double> load_;
+  const int server_processes_;
+};
+
+}  // namespace
+
+std::unique_ptr<Step> MakeReload(Parameters& parameters) { return std::make_unique<Reload>(parameters); }
+
+}  // namespace merlinrun::scale
--- a/scale/steps.cpp
+++ b/scale/steps.cpp
@@ -3,6 +3,7 @@
 #include "discovery_steps.hpp"
 #include "fan_out.hpp"
 #include "hollow_and_real.hpp"
+#include "reload.hpp"
 #include "sidecars.hpp"
 #include "step.hpp"
 
@@ -23,6 +24,7 @@
       {"play_rollout", MakePlayRollout},
       {"play_steady", MakePlaySteady},
       {"play_zone", MakePlayZone},
+      {"reload", MakeReload},
       {"sidecars", MakeSidecars},
       {"watches", MakeWatches},
   };
--- a/tests/scale/caller_test.cpp
+++ b/tests/scale/caller_test.cpp
@@ -88,6 +88,17 @@
   EXPECT_GE(server.requests(), 10);
 }
 
+TEST_F(CallerTest, StoppedItSendsNoMoreAndWaitsForWhatIsOpen) {
+  ServerStandIn server(io, {});
+  Caller caller(io, {server.address()}, Even(200));
+  caller.Start(1h);
+  ASSERT_TRUE(RunUntil(io, [&] { return caller.results().counts.sent == 20; }));
+  caller.Stop();
+  ASSERT_TRUE(RunUntil(io, [&] { return caller.done(); }));
+  EXPECT_EQ(caller.results().counts.sent, 20u);
+  EXPECT_EQ(caller.results().counts.served, 20u);
+}
+
 TEST_F(CallerTest, RequestsAreWhatTheSidecarTakes) {
   std::mt19937_64 random(7);
   const HttpRequest get = NewRequest({"read", true}, "acme", 480ms, 200, random);
--- a/tests/scale/real_steps_test.cpp
+++ b/tests/scale/real_steps_test.cpp
@@ -140,6 +140,21 @@
   EXPECT_GT(samples[1].figures.at("calls"), samples[0].figures.at("calls"));
 }
 
+TEST_F(RealStepsTest, AReloadLosesNoCallAndLeavesNoWatchBehind) {
+  const auto samples = Play("reload", {{"load_s", 0.3}, {"servers", 3}, {"calls_per_s", 40}}, {1, 3});
+  ASSERT_EQ(samples.size(), 2u);
+  for (const Sample& sample : samples) {
+    ExpectFigures(sample, {"watching_p50_ms", "watching_last_ms", "in_force_p50_ms", "in_force_last_ms",
+                           "cpu_us_per_reload", "discovery_bytes_out_per_reload"});
+    EXPECT_EQ(sample.figures.count("watching_p99_ms"), 0u);  // of so few
+    EXPECT_EQ(sample.figures.at("watches"), sample.conditions.at("sidecars"));
+    EXPECT_EQ(sample.figures.at("watches_left_behind"), 0);
+    EXPECT_EQ(sample.figures.at("discovery_calls_per_reload"), 2);  // the whole list, then the watch
+    EXPECT_GT(sample.figures.at("calls"), 0);
+    EXPECT_EQ(sample.figures.at("unserved_calls"), 0);
+  }
+}
+
 TEST_F(RealStepsTest, CallersSideBySideEachHaveASidecar) {
   const auto samples = Play(
       "call_rate",
@@ -151,7 +166,7 @@
 
 TEST_F(RealStepsTest, BadSizesAreToldWithFileAndKeyBeforeAnythingStarts) {
   const std::filesystem::path file = scratch / "bad.toml";
-  for (const std::string kind : {"sidecars"}) {
+  for (const std::string kind : {"sidecars", "reload"}) {
     for (const std::string sizes : {"[2, 251]", "[0]", "[]", "\"many\""}) {
       std::ofstream(file) << "name = \"bad\"\n[[step]]\nkind = \"" + kind + "\"\nsidecars = " + sizes + "\n";
       try {
@@ -168,7 +183,7 @@
 
 TEST_F(RealStepsTest, AnInterruptedStepRecordsNoHalfReading) {
   stop = true;
-  for (const char* kind : {"call_rate", "chain", "hollow_and_real", "sidecars"})
+  for (const char* kind : {"call_rate", "chain", "hollow_and_real", "sidecars", "reload"})
     EXPECT_TRUE(Play(kind, {}, {10}).empty()) << kind;
 }
 
--- a/tests/scale/remote_servers_test.cpp
+++ b/tests/scale/remote_servers_test.cpp
@@ -1,4 +1,4 @@
-// Servers in processes of their own.
+// Servers in processes of their own, and what is seen of them and of sidecars from outside.
 #include "scale/remote_servers.hpp"
 
 #include <gtest/gtest.h>
@@ -9,7 +9,9 @@
 #include <vector>
 
 #include "scale/caller.hpp"
+#include "scale/known_servers.hpp"
 #include "scale/loop.hpp"
+#include "scale/real_sidecars.hpp"
 #include "scale/service.hpp"
 #include "scale/step.hpp"
 
@@ -72,5 +74,33 @@
   EXPECT_EQ(servers.counts().served, 40u);
 }
 
+TEST_F(RemoteServersTest, SidecarsFollowANewAddressAndActOnAChangeThere) {
+  RemoteServers servers(1, context.scratch);
+  auto addresses = servers.Open(Alike({}, 3));
+  const Entry third = Listed(addresses).back();
+  addresses.pop_back();
+  const Service before(io, addresses);
+  Service after(io, addresses);
+  RealSidecars sidecars(io, context, 1, /*management=*/true);
+  ASSERT_EQ(sidecars.Add(2, before.discovery()).size(), 2u);
+  std::vector<net::Tcp::endpoint> doors;
+  for (const auto& sidecar : sidecars.all()) doors.push_back(sidecar->management());
+  EXPECT_EQ(after.counts().watches, 0u);
+
+  sidecars.Reload(after.discovery());
+  ASSERT_TRUE(RunUntil(
+      io, [&] { return after.counts().watches == 2; }, kLong));
+  int told = 0;
+  const KnownServersWatch watch(io, doors, 3, [&] { ++told; });
+  RunFor(io, std::chrono::milliseconds(100));
+  EXPECT_EQ(told, 0);
+  after.Change({third});
+  ASSERT_TRUE(RunUntil(
+      io, [&] { return told == 2; }, kLong));
+  RunFor(io, std::chrono::milliseconds(100));
+  EXPECT_EQ(told, 2);  // once for each
+  EXPECT_EQ(before.counts().watches, 0u);
+}
+
 }  // namespace
 }  // namespace merlinrun::scale
--- a/tests/scale/smoke_test.cpp
+++ b/tests/scale/smoke_test.cpp
@@ -77,6 +77,7 @@
                                                {"hollow_and_real", 2},
                                                {"chain", 2},
                                                {"sidecars", 1},
+                                               {"reload", 1},
                                                {"play_steady", 1},
                                                {"play_zone", 1},
                                                {"play_rollout", 1},
