--- a/tests/scale/caller_test.cpp
+++ b/tests/scale/caller_test.cpp
@@ -88,6 +88,17 @@
   EXPECT_GE(server.requests(), 10);
 }
 
+TEST_F(CallerTest, StoppedItSendsNoMoreAndWaitsForWhatIsOpen) {
+  ServerStandIn server(io, {});
+  Caller caller(io, {server.address()}, Even(200));
+  caller.Start(1h);
+  ASSERT_TRUE(RunUntil(io, [&] { return caller.results().counts.sent == 20; }));
+  caller.Stop();
+  ASSERT_TRUE(RunUntil(io, [&] { return caller.done(); }));
+  EXPECT_EQ(caller.results().counts.sent, 20u);
+  EXPECT_EQ(caller.results().counts.served, 20u);
+}
+
 TEST_F(CallerTest, RequestsAreWhatTheSidecarTakes) {
   std::mt19937_64 random(7);
   const HttpRequest get = NewRequest({"read", true}, "acme", 480ms, 200, random);
@@ -105,9 +116,11 @@
 TEST(LatencyHistogramTest, QuantilesAreExactToHalfAPercent) {
   LatencyHistogram histogram;
   EXPECT_TRUE(std::isnan(histogram.QuantileMs(0.5)));
+  EXPECT_TRUE(std::isnan(histogram.MeanMs()));
   for (int ms = 1; ms <= 1000; ++ms) histogram.Add(std::chrono::milliseconds(ms));
   histogram += histogram;
   EXPECT_EQ(histogram.count(), 2000u);
+  EXPECT_DOUBLE_EQ(histogram.MeanMs(), 500.5);
   EXPECT_NEAR(histogram.QuantileMs(0.5), 500, 2.5);
   EXPECT_NEAR(histogram.QuantileMs(0.99), 990, 5);
   EXPECT_NEAR(histogram.QuantileMs(0.999), 999, 5);
