Test on sockets in which time discovery is asked again after a failed call

Cause: with the line taken out that passes this time from the sidecar to the module, all tests of the discovery, of the fleet and of the rare moments stayed green: the module's part and the watch's part were tested apart.

Change: a sidecar among 3, 300 and 14,000, whose settings allow an hour, follows a discovery that refuses each call, and has to have asked five times within the usual wait of 20 s.

Ruled out: one test over the three sizes with a new sidecar each. Its first form crashed on the changed program after a sidecar had been destroyed while its loop went on; the cause of that was not looked into.

--- a/tests/net/rare_test.cpp
+++ b/tests/net/rare_test.cpp
@@ -179,6 +179,26 @@
   EXPECT_EQ(two.requests(), 1);
 }
 
+// A change binds 6 s after discovery had it, whatever the settings allow after a failed call: here an hour,
+// and with so many siblings the spread alone would be half of one.
+class AskedAgain : public RareTest, public ::testing::WithParamInterface<int> {};
+
+TEST_P(AskedAgain, BeforeAChangeBindsWhateverTheSettingsAllow) {
+  nlohmann::json json = ConfigJson(discovery.address, {});
+  Asked(json);
+  json["settings"]["rules"]["ask_within_us"] = 3'600'000'000;
+  json["settings"]["siblings"] = GetParam();
+  Config config = ParseConfig(json.dump());
+  config.listen = Loopback();
+  sidecar = std::make_unique<Sidecar>(io, std::move(config));
+  sidecar->Start();
+  ScriptedServer refusing(io, [](Peer& peer) { peer.Write(Reply("503 Service Unavailable", "")); });
+  Reload(refusing.address);
+  EXPECT_TRUE(RunUntil(io, [&] { return refusing.requests() >= 5; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(ByFleetsOfEachSize, AskedAgain, ::testing::Values(3, 300, 14'000));
+
 TEST_F(RareTest, AfterALowerGenerationTheWholeListIsAskedForAlsoWhereTheModuleAsks) {
   ScriptedServer one(io, Serves("one"));
   int calls = 0;
