--- a/scale/capacity_tables.cpp
+++ b/scale/capacity_tables.cpp
@@ -5,6 +5,8 @@
 #include <boost/algorithm/string/replace.hpp>
 #include <cmath>
 #include <map>
+#include <set>
+#include <tuple>
 
 #include "scale/numbers.hpp"
 #include "scale/table_reader.hpp"
@@ -37,14 +39,23 @@
                            [](const Demand& a, const Demand& b) { return a.Factor() < b.Factor(); });
 }
 
-std::string SlopesTable(const std::vector<FittedRun>& runs) {
+// A slope, whatever other conditions it was taken under.
+using SlopeName = std::tuple<std::string, std::string, std::string>;
+SlopeName NameOf(const SeriesName& name) { return {name.measure, name.figure, name.condition}; }
+
+// The slopes that a row rests on, under all conditions that they were taken under, so that what rests on one
+// is seen beside its counterpart: real beside hollow, with relays beside without.
+std::string SlopesTable(const std::vector<FittedRun>& runs, const std::vector<Demand>& demands) {
+  std::set<SlopeName> used;
+  for (const Demand& demand : demands)
+    for (const SeriesName& name : demand.series) used.insert(NameOf(name));
   std::string text =
       Head({"slope", "run", "per one more", "at none", "Theil-Sen", "sizes", "two decades", "residual rms",
             "residual largest", "spread of repeats", "exponent", "exponent of the increase"});
   for (const FittedRun& run : runs) {
     const std::string name = run.result.partial ? run.name + ", partial" : run.name;
     for (const auto& [series_name, series] : run.series) {
-      if (!series.line) continue;  // too few sizes: no slope
+      if (!series.line || !used.contains(NameOf(series_name))) continue;  // too few sizes, or of no row
       std::vector<std::string> sizes;
       for (const double size : series.sizes) sizes.push_back(Short(size));
       std::vector<std::string> cells = {ToString(series_name), name};
@@ -191,7 +202,7 @@
 
 std::vector<Table> CapacityTables(const CapacityModel& model) {
   const std::vector<Demand> demands = model.Demands();
-  return {{"slopes", SlopesTable(model.runs())},
+  return {{"slopes", SlopesTable(model.runs(), demands)},
           {"roles", RolesTable(demands)},
           {"ranking", RankingTable(demands)},
           {"assumptions", AssumptionsTable(model, demands)},
