Forget an overload once all that was let in under it has ended

Cause: admission learns from the outcomes of its own attempts alone. In a chain of sidecars each hop that refuses a part makes the one before it see refusals, so it refuses more, and the last hops get nothing from which they could learn that they are free again: what each still lets in multiplies along the chain to nothing. Change: where no outcome has told of pressure for as long as the longest time that a client has given a request of this class, all that was let in is over, and the share let in goes back to all. Hops that hear nothing open first, and those before them learn from what then passes. Not taken: a share that recovers by time alone while outcomes still tell of pressure; it would let in more in every overload.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -188,9 +188,8 @@
     for (const ServerInfo& info : update.servers) {
       Server& server = servers_[info.id];
       if (!walk) pools_[server.pool].Drop(server);
-      if (info.started != server.info.started) {  // new here, or its process is: chance decides who starts it
+      if (info.started != server.info.started)  // new here, or its process is: chance decides who starts it
         server.credit = {random_.Unit(), served_, now_};
-      }
       server.info = info;
       if (const auto it = by_hand_.find(info.id); it != by_hand_.end() && !it->second.started)
         it->second.started = info.started;
@@ -492,9 +491,13 @@
   bool LetIn(Held& held) {
     const std::size_t own = held.request_class;
     for (held.pool = 0; held.pool < pools_.size(); ++held.pool) {
+      Pool& pool = pools_[held.pool];
+      // All that was let in has ended since: no pressure is known. Guards against chains of sidecars that
+      // each refuse a part, so that nothing reaches the last ones and none of them ever learns better.
+      if (now_ - pool.felt_at > load_[own].longest_budget) pool.admit = std::max(pool.admit, 1.0);
       // A crossing has to be worth its price: requests of least worth stay at home or are refused.
       if (held.pool > 0 && Worth(own) < set_.price_crossing * mean_worth_.value) break;
-      if (!pools_[held.pool].ring.empty() && Admits(pools_[held.pool], own, held.late)) return true;
+      if (!pool.ring.empty() && Admits(pool, own, held.late)) return true;
     }
     held.pool = 0;
     return NoServer();  // one may yet be listed while it waits
@@ -666,6 +669,7 @@
       return;  // says nothing of load
     }
     LearnOut(pool);
+    pool.felt_at = now_;
     pool.answers = std::min(pool.answers + 1, kUsualMemory);
     pool.usual += (aims - pool.usual) / pool.answers;
     if (pool.answers >= kUsualMemory / 2) pool.unloaded = std::min(pool.unloaded, pool.usual);
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -95,6 +95,7 @@
   double unloaded = 1e9;      // the least that was usual
   double answers = 0;         // that say so
   double lates = 0;           // outcomes in a row that were late or refused
+  Micros felt_at = 0;         // the last outcome that told of pressure or of none
 
   Server& InWindow(std::size_t i) const { return *ring[(offset + i) % ring.size()]; }
   // Both find its place by id, whatever the ring's size, and move the pointers behind it.
