Hold nothing while a discovery that pushes its lists is silent

ListAge took the end of a silent watch for one after which news binds at once, and a call that gets no answer for a queue. Where lists are pushed nobody queues: a discovery that is silent to its watches and its callers is down and learns nothing, and what it gets at its return counts from then. So nothing binds while it is silent, and it is asked again within 0.2 s of each call that got no answer, so that what it tells at its return is heard within the grace. Where lists are asked for nothing changes (tests on both).

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -109,7 +109,7 @@
     body.more = true;
     http::async_read_some(tcp_, buffer_, parser_, [self = shared_from_this()](ErrorCode error, std::size_t) {
       if (error == http::error::need_buffer) error = {};
-      if (error == beast::error::timeout) return self->End(CallEnd::kEnded, "silent");
+      if (error == beast::error::timeout) return self->End(CallEnd::kSilent, "silent");
       if (error == asio::error::connection_reset) return self->End(CallEnd::kReset, error.message());
       if (error) return self->End(CallEnd::kEnded, error.message());
       self->TakePiece();
@@ -212,7 +212,7 @@
 
 std::optional<ListAge::Time> Discovery::binds_unheard() const {
   const bool watching = stream_ != nullptr && stream_->heard() && !stream_->whole();
-  return watching ? std::nullopt : std::optional(age_.binds());
+  return watching ? std::nullopt : age_.binds();
 }
 
 void Discovery::Open() {
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -62,7 +62,7 @@
   // Does nothing if the address is the one that is followed.
   void Switch(const Tcp::endpoint& address);
 
-  // From when on changes that were not heard bind; none while a watch is heard.
+  // From when on changes that were not heard bind; none while a watch is heard, and while there can be none.
   std::optional<ListAge::Time> binds_unheard() const;
   // Whether such changes are only possible or known to have been told.
   Unheard unheard() const { return age_.unheard(); }
--- a/src/net/list_age.cpp
+++ b/src/net/list_age.cpp
@@ -14,6 +14,9 @@
 constexpr Micros kOverdueBase = 500'000;
 constexpr Micros kOverdueCap = 2'000'000;
 constexpr int kMostDoublings = 2;
+// A discovery that is silent is asked again so soon: what it learns at its return binds at once, and is told
+// to whoever waits then.
+constexpr Micros kAskSilent = 200'000;
 // A call is given up when changes begin to bind, but none before it has had so long: an overloaded discovery
 // keeps its callers waiting for seconds, and one that gives up loses its place.
 constexpr Micros kLeastAnswer = 3'250'000;
@@ -45,6 +48,8 @@
 
 void ListAge::CallEnded(CallEnd how, Time began, Time now) {
   const bool at_once = now - began < kAtOnce;
+  silent_ = IsSilentOutage(how);
+  if (silent_) binds_ = unwatched_since_.emplace(now);  // until now nothing was learnt
   if (timing_.told_at_end && (how == CallEnd::kEnded || how == CallEnd::kBadInput || how == CallEnd::kReset))
     binds_ = std::min(binds_, now);
   switch (how) {
@@ -60,12 +65,13 @@
       if (at_once) lost_ = false;
       [[fallthrough]];
     case CallEnd::kUnanswered:
-      if (lost_) {
+      if (lost_ && !silent_) {
         OutOfReach(began, began);
       } else if (!unwatched_since_) {
         unwatched_since_ = now;
       }
       break;
+    case CallEnd::kSilent:
     case CallEnd::kEnded:
     case CallEnd::kBadInput:
       lost_ = false;
@@ -75,6 +81,12 @@
   if (now >= binds_) failed_overdue_ = std::min(failed_overdue_ + 1, kMostDoublings);
 }
 
+// Where lists are pushed nobody waits for an answer: a discovery that keeps its watches and its callers
+// waiting is down. Guards against a silence that is taken for missed changes and stops all service.
+bool ListAge::IsSilentOutage(CallEnd how) const {
+  return timing_.told_at_end && !cut_off_ && (how == CallEnd::kSilent || how == CallEnd::kUnanswered);
+}
+
 void ListAge::CutOff(Time begun, Unheard unheard) {
   binds_ = std::min(binds_, begun);
   cut_off_ = true;
@@ -104,6 +116,7 @@
 // Counted from what was last heard. Counted from the last call, as it once was, each failed call put off the
 // next one, and drained servers got requests past their grace.
 Micros ListAge::AskWithin(Time now) const {
+  if (silent_) return kAskSilent;
   const Micros left = Between(now, binds_);
   if (left > 0) return std::max<Micros>(left / kWaitShare, std::min(left, kOverdueBase));
   return std::min(kOverdueBase << failed_overdue_, kOverdueCap);
--- a/src/net/list_age.hpp
+++ b/src/net/list_age.hpp
@@ -27,7 +27,8 @@
     kUnanswered,   // no answer in time
     kReset,        // the connection broke, before an answer or in the middle of it
     kRefused,      // an answer other than 200
-    kEnded,        // the answer ended in order, or fell silent
+    kSilent,       // the answer began and fell silent
+    kEnded,        // the answer ended in order
     kBadInput,     // what came makes no sense
   };
 
@@ -38,7 +39,7 @@
   // Discovery has told everything that it had by that time.
   void Confirm(Time at);
   // Something of an answer has come: discovery lives.
-  void Heard() { lost_ = false; }
+  void Heard() { lost_ = silent_ = false; }
   // A call that was made at `began` has ended now.
   void CallEnded(CallEnd how, Time began, Time now);
   // What was being told from that time on did not come whole. Counts as told: discovery has written it.
@@ -49,14 +50,16 @@
   // Another discovery is followed. What binds earlier keeps its time.
   void Switched(Time now);
 
-  // From when on changes that were not heard bind, if nothing more is heard.
-  Time binds() const { return binds_; }
+  // From when on changes that were not heard bind, if nothing more is heard. None while a discovery that
+  // pushes its lists says nothing to anybody: it is down then and learns nothing.
+  std::optional<Time> binds() const { return silent_ ? std::nullopt : std::optional(binds_); }
   // Within which discovery has to be asked again.
   Micros AskWithin(Time now) const;
   // Within which a call made at `now` has to be answered, or it is given up; `most` if nothing presses.
   Micros AnswerWithin(Time now, Micros most) const;
 
  private:
+  bool IsSilentOutage(CallEnd how) const;
   void OutOfReach(Time began, Time until);
 
   Timing timing_;
@@ -66,6 +69,7 @@
   std::optional<Time> unwatched_since_;
   bool cut_off_ = false;  // something was being told: no outage puts it off
   Unheard unheard_ = Unheard::kPossible;
+  bool silent_ = false;     // it pushes its lists, and the last call got no answer or fell silent
   bool lost_ = true;        // discovery has given no sign of life, at all or since it broke a connection
   int failed_overdue_ = 0;  // calls that failed after binds_
 };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -254,11 +254,11 @@
 // Tells the module from when on changes bind that were not heard. A watch that has not said anything yet, or
 // a list that is still coming in, changes nothing.
 void Sidecar::OnListAging() {
-  if (const auto binds = discovery_.binds_unheard()) {
-    const auto left =
-        std::chrono::duration_cast<std::chrono::microseconds>(*binds - std::chrono::steady_clock::now());
-    balancer_->OnListAge(Now(), Now() + left.count(), discovery_.unheard());
-  }
+  const auto binds = discovery_.binds_unheard();
+  if (!binds) return balancer_->OnListAge(Now(), std::nullopt);
+  const auto left =
+      std::chrono::duration_cast<std::chrono::microseconds>(*binds - std::chrono::steady_clock::now());
+  balancer_->OnListAge(Now(), Now() + left.count(), discovery_.unheard());
 }
 
 void Sidecar::OnDiscoveryHeard() {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -94,7 +94,7 @@
   // What was not heard of the list binds from then on; empty while the list is current.
   void OnListAge(std::optional<Micros> binds, Unheard unheard) {
     if (binds) return outdated_.BindsFrom(*binds, unheard);
-    if (outdated_.held_since()) LogHeld("heard again", *outdated_.held_since());
+    if (outdated_.held_since()) LogHeld("in use again", *outdated_.held_since());
     outdated_.Current();
   }
 
--- a/tests/faults/faulty_discovery.cpp
+++ b/tests/faults/faulty_discovery.cpp
@@ -52,6 +52,10 @@
     ErrorCode ignored;
     asio::write(socket_, asio::buffer(text), ignored);
   }
+  // Answers what was asked during a silence.
+  void AnswerWaiting() {
+    if (open_ && std::exchange(waiting_, false)) Answer();
+  }
   void Close(bool reset = false) {
     if (!std::exchange(open_, false)) return;
     ErrorCode ignored;
@@ -89,6 +93,8 @@
       case Mode::kRefusing:
       case Mode::kDown:
         return Fail();
+      case Mode::kSilent:
+        waiting_ = true;
     }
   }
   template <typename Then>
@@ -122,6 +128,7 @@
   std::string request_;
   bool open_ = true;
   bool asked_ = false;
+  bool waiting_ = false;
   bool watching_ = false;
 };
 
@@ -170,6 +177,14 @@
       Accept(i);
     }
   }
+  if (before == Mode::kSilent && mode != Mode::kSilent) EndSilence();
+}
+
+void FaultyDiscovery::EndSilence() {
+  for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_)) {
+    session->AnswerWaiting();
+    if (session->watching() && !session->silent) Tell(*session, /*cut_off=*/false);
+  }
 }
 
 nlohmann::json FaultyDiscovery::WholeList() const {
@@ -222,7 +237,7 @@
   entries_[id] = entry;
   changes_.push_back({++version_, id, entry.at("lifecycle"), Clock::now(), std::nullopt});
   for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_)) {
-    if (!session->watching() || session->silent) continue;
+    if (!session->watching() || session->silent || mode_ == Mode::kSilent) continue;
     switch (telling) {
       case Telling::kEndInstead:
         session->Close();
@@ -256,7 +271,7 @@
   blank_.async_wait([this](ErrorCode error) {
     if (error) return;
     for (const auto& session : sessions_)
-      if (session->watching() && !session->silent) session->Write(Chunk("\n"));
+      if (session->watching() && !session->silent && mode_ != Mode::kSilent) session->Write(Chunk("\n"));
     BlankLines();
   });
 }
--- a/tests/faults/faulty_discovery.hpp
+++ b/tests/faults/faulty_discovery.hpp
@@ -32,6 +32,7 @@
     kOverloaded,  // keeps calls waiting; some are answered late, the others end in 503
     kRefusing,    // ends calls in 503 at once, and ends all watches when it begins
     kDown,        // connections are refused; watches are reset when it begins
+    kSilent,      // says nothing on any connection; what it was asked meanwhile is answered at its end
   };
   // What becomes of the open watches at the next change.
   enum class Telling { kWhole, kEndInstead, kFallSilent, kCutOff };
@@ -78,6 +79,7 @@
   void Listen(std::size_t index);
   void Accept(std::size_t index);
   void Tell(Session& session, bool cut_off);
+  void EndSilence();
   void MarkWritten(std::int64_t after);
   void BlankLines();
   double Unit() { return std::uniform_real_distribution<double>(0, 1)(random_); }
--- /dev/null
+++ b/tests/faults/silent_discovery_test.cpp
@@ -0,0 +1,146 @@
+// A pushing discovery that is silent on all connections is down and learns nothing: service goes on without
+// it, and what it tells at its return binds at once.
+#include <algorithm>
+
+#include "../net/loopback.hpp"
+#include "caller.hpp"
+#include "faulty_discovery.hpp"
+#include "process.hpp"
+#include "recording_server.hpp"
+
+namespace merlinrun::faults {
+namespace {
+
+using namespace net::testing;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+constexpr int kSidecars = 3;
+constexpr int kServers = 6;
+constexpr int kCallersEach = 5;
+constexpr auto kGrace = milliseconds(700);
+// For the sidecar to be held up between reading its clock and writing, and for this process to be late.
+constexpr auto kSlack = milliseconds(50);
+constexpr auto kCompared = std::chrono::seconds(10);
+constexpr double kKeptShare = 0.95;  // of what is usable without the silence
+
+// A sidecar program with the address that it listens at.
+class RunningSidecar {
+ public:
+  RunningSidecar(net::asio::io_context& io, nlohmann::json config) : reserved_(io) {
+    // Bound and not listened at: the port stays free for the sidecar and for nobody else.
+    reserved_.open(net::Tcp::v4());
+    reserved_.set_option(net::asio::socket_base::reuse_address(true));
+    reserved_.bind(Loopback());
+    config["listen"] = Text(address());
+    config_.Write(config.dump());
+    process_ = std::make_unique<Process>(
+        FENNELHOLLOW_PROGRAM, std::vector<std::string>{"EDGE_CONFIG=" + config_.path()}, log_.path());
+  }
+  net::Tcp::endpoint address() const { return reserved_.local_endpoint(); }
+  std::string Log() const { return log_.Read(); }
+
+ private:
+  net::Tcp::socket reserved_;
+  TemporaryFile config_;
+  TemporaryFile log_;
+  std::unique_ptr<Process> process_;
+};
+
+class SilentDiscoveryTest : public ::testing::TestWithParam<std::uint64_t> {
+ protected:
+  SilentDiscoveryTest() : discovery(io, GetParam()) {
+    for (int i = 0; i < kServers; ++i) {
+      servers.push_back(
+          std::make_unique<RecordingServer>(io, "s" + std::to_string(i), GetParam() * 100 + 2, arrivals));
+      Publish(i, "up");
+    }
+  }
+  ~SilentDiscoveryTest() override {
+    for (const auto& caller : callers) caller->Stop();
+  }
+
+  void Publish(int server, const char* lifecycle) {
+    const RecordingServer& changed = *servers.at(static_cast<std::size_t>(server));
+    discovery.Publish(Entry(changed.id(), changed.address(), lifecycle), FaultyDiscovery::Telling::kWhole);
+  }
+  void Start() {
+    for (int i = 0; i < kSidecars; ++i) {
+      nlohmann::json json = ConfigJson(discovery.address(0), {});
+      json["known"] = discovery.WholeList();
+      char seed[32];
+      std::snprintf(seed, sizeof seed, "%016llx", static_cast<unsigned long long>(GetParam()) * 100 + i);
+      json["seed"] = seed;
+      json["settings"]["rules"]["drain_grace_us"] = std::chrono::microseconds(kGrace).count();
+      json["settings"]["siblings"] = kSidecars;
+      json["settings"]["rank"] = i;
+      sidecars.push_back(std::make_unique<RunningSidecar>(io, json));
+    }
+    ASSERT_TRUE(RunUntil(io, [&] { return discovery.calls() >= kSidecars; }));
+    for (int i = 0; i < kSidecars * kCallersEach; ++i) {
+      callers.push_back(std::make_shared<Caller>(io,
+                                                 sidecars[static_cast<std::size_t>(i % kSidecars)]->address(),
+                                                 "c" + std::to_string(i), GetParam() * 1000 + i, requests));
+      callers.back()->Start();
+    }
+  }
+  // The share of the callers' time from `begin` to `end` that went into requests that were served, or none.
+  // Counted by time, not by requests: a caller whose request is held back meanwhile sends no other.
+  double UsableShare(Clock::time_point begin, Clock::time_point end) const {
+    Clock::duration lost{};
+    int served = 0;
+    for (const Request& request : requests) {
+      if (request.sent < begin || request.sent >= end || request.left) continue;
+      if (request.status == 200) {
+        ++served;
+      } else {
+        lost += std::min(request.answered.value_or(end), end) - request.sent;
+      }
+    }
+    EXPECT_GT(served, 1000);
+    return 1 - Seconds(lost) / (Seconds(end - begin) * static_cast<double>(callers.size()));
+  }
+  int SentAfter(int server, Clock::time_point time) const {
+    const std::string& id = servers.at(static_cast<std::size_t>(server))->id();
+    return static_cast<int>(std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival& arrival) {
+      return arrival.server == id && arrival.first_byte > time;
+    }));
+  }
+  std::string Logs() const {
+    std::string logs;
+    for (const auto& sidecar : sidecars) logs += sidecar->Log() + "--\n";
+    return logs;
+  }
+
+  net::asio::io_context io;
+  FaultyDiscovery discovery;
+  std::vector<Arrival> arrivals;
+  std::deque<Request> requests;
+  std::vector<std::unique_ptr<RecordingServer>> servers;
+  std::vector<std::unique_ptr<RunningSidecar>> sidecars;
+  std::vector<std::shared_ptr<Caller>> callers;
+};
+
+// Guards against a silence that stops service: taken for drains that were missed, it stopped most of a
+// fleet's.
+TEST_P(SilentDiscoveryTest, WhatIsServedStaysAsItWasAndADrainToldAtTheReturnIsKept) {
+  ASSERT_NO_FATAL_FAILURE(Start());
+  RunFor(io, 1s);
+  const Clock::time_point before = Clock::now();
+  RunFor(io, kCompared);
+  discovery.SetMode(FaultyDiscovery::Mode::kSilent);
+  const Clock::time_point silent = Clock::now();
+  RunFor(io, kCompared);
+  EXPECT_GE(UsableShare(silent, Clock::now()), kKeptShare * UsableShare(before, silent)) << Logs();
+
+  discovery.SetMode(FaultyDiscovery::Mode::kHealthy);
+  Publish(0, "draining");
+  const Clock::time_point made = Clock::now();
+  RunFor(io, kGrace + 1s);
+  EXPECT_GT(SentAfter(1, made), 0);
+  EXPECT_EQ(SentAfter(0, made + kGrace + kSlack), 0) << Logs();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SilentDiscoveryTest, ::testing::Values(1, 2));
+
+}  // namespace
+}  // namespace merlinrun::faults
--- a/tests/net/list_age_test.cpp
+++ b/tests/net/list_age_test.cpp
@@ -124,6 +124,40 @@
   EXPECT_EQ(age.binds(), kStart + seconds(14));
 }
 
+// Guards against a silent discovery that stops all service: it is down and learns nothing.
+TEST_F(ListAgeTest, NothingBindsWhileADiscoveryThatPushesIsSilent) {
+  ListAge age = Pushed();
+  age.Confirm(kStart + seconds(10));
+  age.CallEnded(End::kSilent, kStart, kStart + milliseconds(12700));
+  EXPECT_EQ(age.binds(), std::nullopt);
+  EXPECT_EQ(age.AskWithin(kStart + seconds(13)), 200'000);
+  age.CallEnded(End::kUnanswered, kStart + seconds(13), kStart + seconds(16));
+  EXPECT_EQ(age.binds(), std::nullopt);
+  // It lives, and has told nothing yet: what it has learnt since it was last silent binds at once.
+  age.Heard();
+  age.CallEnded(End::kEnded, kStart + seconds(16), kStart + seconds(17));
+  EXPECT_EQ(age.binds(), kStart + seconds(16));
+}
+
+TEST_F(ListAgeTest, ASilenceAfterHalfAnObjectPutsNothingOff) {
+  ListAge age = Pushed();
+  age.Confirm(kStart + seconds(10));
+  age.CutOff(kStart + seconds(11));
+  age.CallEnded(End::kSilent, kStart, kStart + seconds(13));
+  age.CallEnded(End::kUnanswered, kStart + seconds(13), kStart + seconds(16));
+  EXPECT_EQ(age.binds(), kStart + seconds(11));
+}
+
+// Where lists are asked for, a call that is kept waiting may be in a queue: what was missed binds all the
+// same.
+TEST_F(ListAgeTest, ASilenceOfADiscoveryThatIsAskedPutsNothingOff) {
+  ListAge age = Asked();
+  age.Confirm(kStart + seconds(10));
+  age.CallEnded(End::kSilent, kStart, kStart + milliseconds(12700));
+  age.CallEnded(End::kUnanswered, kStart + seconds(13), kStart + seconds(16));
+  EXPECT_EQ(age.binds(), kStart + seconds(16));
+}
+
 TEST_F(ListAgeTest, ASwitchBindsInFourSecondsOrWhenItBoundBefore) {
   ListAge age = Asked();
   age.Switched(kStart + seconds(1));
