Move the servers out by hand into a module of their own, and a reserved address

src/bans.hpp takes what src/policy.cpp and src/records.hpp had of bans, its names and comments with it; no decision changes.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "bans.hpp"
 #include "merlinrun/balancer.hpp"
 #include "outdated_list.hpp"
 #include "records.hpp"
@@ -76,8 +77,7 @@
       if (info.started != server.info.started)  // new here, or its process is: chance decides who starts it
         server.credit = {random_.Unit(), served_, now_};
       server.info = info;
-      if (const auto it = by_hand_.find(info.id); it != by_hand_.end() && !it->second.started)
-        it->second.started = info.started;
+      bans_.OnListed(info.id, info.started);
       server.pool = set_.price_crossing >= kCrossingPriced && info.zone != set_.zone ? 1 : 0;
       server.listed = info.state != ServerInfo::State::kGone;
       if (!walk) Place(server);
@@ -118,43 +118,30 @@
   // ---- Servers out by hand ----
 
   void OnBan(std::string_view id, bool out) {
-    auto it = by_hand_.find(std::string(id));
-    if (out == (it != by_hand_.end() && it->second.out)) return;
     const auto server = servers_.find(std::string(id));
+    const bool known = server != servers_.end();
     if (out) {
-      const bool known = server != servers_.end();
-      by_hand_[std::string(id)] = {true, known ? std::optional(server->second.info.started) : std::nullopt};
+      if (!bans_.TakeOut(id, known ? std::optional(server->second.info.started) : std::nullopt)) return;
     } else {
-      it->second.out = false;
-      it->second.back_at = now_;
-      if (server != servers_.end()) {
-        // Its process is another one: what was seen of the old one says nothing of it.
-        Server fresh;
-        fresh.info = server->second.info;
-        fresh.pool = server->second.pool;
-        fresh.listed = server->second.listed;
-        fresh.out = server->second.out;
-        fresh.credit = {random_.Unit(), served_, now_};
-        server->second = fresh;
-      }
+      if (!bans_.PutBack(id, now_)) return;
+      if (known) Renew(server->second);
     }
     PlaceAll();
     Settle();
   }
 
-  bool Banned(const Server& server) const {
-    const auto it = by_hand_.find(server.info.id);
-    return it != by_hand_.end() && it->second.out;
+  // Its process is another one: what was seen of the old one says nothing of it.
+  void Renew(Server& server) {
+    Server fresh;
+    fresh.info = server.info;
+    fresh.pool = server.pool;
+    fresh.listed = server.listed;
+    fresh.out = server.out;
+    fresh.credit = {random_.Unit(), served_, now_};
+    server = fresh;
   }
 
-  // When it started, as far as is known. Guards against taking one for warm that was restarted while it was
-  // out: the list tells it late.
-  Micros Started(const Server& server) const {
-    const auto it = by_hand_.find(server.info.id);
-    const bool told =
-        it == by_hand_.end() || it->second.started.value_or(server.info.started) != server.info.started;
-    return told ? server.info.started : std::max(server.info.started, it->second.back_at);
-  }
+  bool Banned(const Server& server) const { return bans_.IsOut(server.info.id); }
 
   // On the ring, if it may be sent to. One that is gone is kept while attempts at it are out.
   void Place(Server& server) {
@@ -790,7 +777,7 @@
   // The share of its full capacity that a server certainly has: it grows from the cold share over the
   // warm-up.
   double Warmth(const Server& server) const {
-    const Micros started = Started(server);
+    const Micros started = bans_.Started(server.info.id, server.info.started);
     const Micros age = now_ - started;
     if (started == 0 || age >= set_.warm_after) return 1;
     const double grown = static_cast<double>(std::max<Micros>(age, 0)) / static_cast<double>(set_.warm_after);
@@ -922,7 +909,7 @@
   std::map<std::string, Server> servers_;  // sorted: the ring's order; nodes stay put
   std::vector<std::string> leaving_;       // no longer listed, and kept while attempts are out
   std::uint64_t walks_ = 0;
-  std::map<std::string, ByHand> by_hand_;
+  Bans bans_;
   std::array<Pool, 2> pools_;
   std::unordered_map<std::string, Held> held_;  // looked up, never walked
   std::unordered_map<std::uint64_t, std::string> timers_;
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -71,13 +71,6 @@
   Credit credit;                // while it is young
 };
 
-// What operators have said of a server.
-struct ByHand {
-  bool out = true;
-  std::optional<Micros> started;  // as listed when it was taken out; another start is news
-  Micros back_at = 0;
-};
-
 // Servers that share a ring, and what this sidecar knows of them together. Own zone and elsewhere where
 // crossing is priced, else all in one.
 struct Pool {
--- a/tests/faults/silent_discovery_test.cpp
+++ b/tests/faults/silent_discovery_test.cpp
@@ -7,6 +7,7 @@
 #include "faulty_discovery.hpp"
 #include "process.hpp"
 #include "recording_server.hpp"
+#include "reserved_address.hpp"
 
 namespace merlinrun::faults {
 namespace {
@@ -27,20 +28,16 @@
 class RunningSidecar {
  public:
   RunningSidecar(net::asio::io_context& io, nlohmann::json config) : reserved_(io) {
-    // Bound and not listened at: the port stays free for the sidecar and for nobody else.
-    reserved_.open(net::Tcp::v4());
-    reserved_.set_option(net::asio::socket_base::reuse_address(true));
-    reserved_.bind(Loopback());
     config["listen"] = Text(address());
     config_.Write(config.dump());
     process_ = std::make_unique<Process>(
         FENNELHOLLOW_PROGRAM, std::vector<std::string>{"EDGE_CONFIG=" + config_.path()}, log_.path());
   }
-  net::Tcp::endpoint address() const { return reserved_.local_endpoint(); }
+  net::Tcp::endpoint address() const { return reserved_.address(); }
   std::string Log() const { return log_.Read(); }
 
  private:
-  net::Tcp::socket reserved_;
+  const ReservedAddress reserved_;
   TemporaryFile config_;
   TemporaryFile log_;
   std::unique_ptr<Process> process_;
--- a/tests/faults/soak_run.cpp
+++ b/tests/faults/soak_run.cpp
@@ -9,6 +9,7 @@
 
 #include "../net/loopback.hpp"
 #include "process.hpp"
+#include "reserved_address.hpp"
 #include "soak_rules.hpp"
 
 namespace merlinrun::faults {
@@ -74,11 +75,6 @@
 
  private:
   void StartSidecar(std::uint64_t seed) {
-    // Bound and not listened at: the port stays free for the sidecar and for nobody else.
-    reserved_.open(net::Tcp::v4());
-    reserved_.set_option(asio::socket_base::reuse_address(true));
-    reserved_.bind(net::testing::Loopback());
-    listen_ = reserved_.local_endpoint();
     for (const auto& server : servers_)
       discovery_.Publish(Entry(server->id(), server->address()), FaultyDiscovery::Telling::kWhole);
     WriteConfig(seed, 0);
@@ -284,8 +280,8 @@
   TemporaryFile config_;
   TemporaryFile log_;
   std::unique_ptr<Process> process_;
-  net::Tcp::socket reserved_{io_};
-  net::Tcp::endpoint listen_;
+  const ReservedAddress reserved_{io_};
+  const net::Tcp::endpoint listen_ = reserved_.address();
   asio::steady_timer ticker_;
   Clock::time_point start_;
   Clock::time_point last_tick_;
