--- a/tests/faults/soak_main.cpp
+++ b/tests/faults/soak_main.cpp
@@ -14,10 +14,12 @@
   std::uint64_t count = 1;
   std::string program = FENNELHOLLOW_PROGRAM;
   std::string logs;
+  bool all_logs = false;
   app.add_option("--seed", first, "the first seed");
   app.add_option("--count", count, "how many seeds, one after another");
   app.add_option("--sidecar", program, "another sidecar program");
   app.add_option("--logs", logs, "folder for the logs of runs with a breach");
+  app.add_flag("--all-logs", all_logs, "keep the logs of runs without a breach too");
   CLI11_PARSE(app, argc, argv);
   std::size_t broken = 0;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
@@ -29,8 +31,9 @@
       ++broken;
       for (const std::string& breach : result.breaches) std::printf("  breach %s\n", breach.c_str());
       for (const std::string& event : result.timeline) std::printf("  %s\n", event.c_str());
-      if (!logs.empty()) std::ofstream(logs + "/" + std::to_string(seed) + ".log") << result.log;
     }
+    if (!logs.empty() && (all_logs || !result.breaches.empty()))
+      std::ofstream(logs + "/" + std::to_string(seed) + ".log") << result.log;
     std::fflush(stdout);
   }
   std::printf("%llu runs, %zu with a breach\n", static_cast<unsigned long long>(count), broken);
