--- a/tests/faults/soak_test.cpp
+++ b/tests/faults/soak_test.cpp
@@ -26,6 +26,7 @@
 
 // Known failures: see KNOWN-RED.txt.
 INSTANTIATE_TEST_SUITE_P(LateRefusalsAfterAStart, SoakTest, ::testing::Values(341));
+INSTANTIATE_TEST_SUITE_P(OutageBeforeTheFirstCall, SoakTest, ::testing::Values(501));
 INSTANTIATE_TEST_SUITE_P(OutageAfterASilentWatch, SoakTest, ::testing::Values(8));
 
 }  // namespace
