--- a/review/stand_in/stand_in.hpp
+++ b/review/stand_in/stand_in.hpp
@@ -334,9 +334,12 @@
   std::function<bool(Server&, const Socket&, Reader&, const Head&)> on_head;
   std::function<bool(Server&, const Socket&, const ServerRequest&)> on_request;
   double service_time = 0.02;
+  int receive_buffer = 0;  // of its machine's connections; 0 = the system's default
 
   void Start() {
     listener_ = Listen(port_);
+    if (receive_buffer > 0)
+      ::setsockopt(listener_.fd(), SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
     AcceptForever(listener_.fd(), [this](Socket socket) { Serve(socket); });
   }
   int port() const { return port_; }
