--- a/review/stand_in/stand_in.hpp
+++ b/review/stand_in/stand_in.hpp
@@ -334,6 +334,7 @@
   std::function<bool(Server&, const Socket&, Reader&, const Head&)> on_head;
   std::function<bool(Server&, const Socket&, const ServerRequest&)> on_request;
   double service_time = 0.02;
+  bool quiet = false;      // does not record each request
   int receive_buffer = 0;  // of its machine's connections; 0 = the system's default
 
   void Start() {
@@ -362,8 +363,9 @@
           }) != Reader::End::kComplete)
         return;
       ++requests;
-      RECORD("server %s: request %s arrived whole (%zu bytes of body)", id.c_str(), request.id().c_str(),
-             request.body.size());
+      if (!quiet)
+        RECORD("server %s: request %s arrived whole (%zu bytes of body)", id.c_str(), request.id().c_str(),
+               request.body.size());
       if (on_request) {
         if (!on_request(*this, socket, request)) return;
         continue;
@@ -388,6 +390,12 @@
     AcceptForever(listener_.fd(), [this](Socket socket) { Serve(socket); });
   }
   int port() const { return port_; }
+  // While discovery is crowded, a call waits in turn and fails with 503 when it has waited too long. Watches that
+  // are open when it begins fall silent and stay so.
+  void SetCrowded(bool crowded) {
+    crowded_ = crowded;
+    RECORD("discovery: %s", crowded ? "crowded: open watches fall silent, calls wait and end in 503" : "in order again");
+  }
 
   std::string WholeList() const {
     std::string out = "{\"generation\":" + std::to_string(generation_) + ",\"reset\":true,\"instances\":[";
@@ -413,6 +421,13 @@
     Head head;
     if (reader.ReadHead(head, Now() + 10) != Reader::End::kComplete) return;
     RECORD("discovery: call %s", head.first_line.c_str());
+    if (crowded_) {
+      Sleep(kLongestWait);
+      RECORD("discovery: the call waited too long, 503");
+      socket.Send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+      Sleep(0.2);
+      return;
+    }
     if (head.first_line.find("stream=1") == std::string::npos) {
       const std::string list = WholeList() + "\n";
       socket.Send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
@@ -425,14 +440,22 @@
     if (!SendChunk(socket, WholeList() + "\n")) return;
     for (;;) {  // an empty line every 2 s while nothing changes
       Sleep(2);
+      if (crowded_) {  // silent until the sidecar closes
+        char byte;
+        while (socket.Receive(&byte, 1, 600) > 0) continue;
+        return;
+      }
       if (!SendChunk(socket, "\n")) return;
     }
   }
 
+  static constexpr double kLongestWait = 3;  // the site file's timeout_ms
+
   std::vector<std::unique_ptr<Server>>& servers_;
   Socket listener_;
   int port_ = 0;
   int generation_ = 41;
+  std::atomic<bool> crowded_{false};
 };
 
 // ---- The sidecar, as the platform starts it ----
@@ -470,8 +493,8 @@
     const std::string config = folder_ + "/config.json";
     std::ofstream(config) << "{\"name\":\"n3\",\"listen\":\"" << Address(port_) << "\",\"discovery\":\""
                           << Address(discovery.port())
-                          << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,"
-                             "\"sockets\":1024},\"known\":"
+                          << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
+                          << memory_mb << ",\"sockets\":1024},\"known\":"
                           << discovery.WholeList() << ",\"settings\":" << Settings() << "}";
     const std::string temporary = folder_ + "/tmp";
     std::filesystem::create_directory(temporary);
@@ -497,6 +520,14 @@
   }
 
   int port() const { return port_; }
+  int memory_mb = 192;
+  // The private memory of the process, in MB.
+  double MemoryMb() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);)
+      if (line.rfind("RssAnon:", 0) == 0) return std::atof(line.c_str() + 8) / 1024;
+    return 0;
+  }
   void Signal(int number) { ::kill(pid_, number); }
   // Whether the process has ended; `status` is then its wait status.
   bool Ended() {
