--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' "$root/deploy/balancer.toml")
-exec "$root/build/review/server_silent_during_upload" "$run" "$root" "$folder"
+exec "$root/build/review/restart_during_answer" "$run" "$root" "$folder"
