--- a/review/stand_in/stand_in.hpp
+++ b/review/stand_in/stand_in.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -501,6 +502,7 @@
     pid_ = ::fork();
     if (pid_ < 0) throw CannotRun{"cannot start a process"};
     if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // does not outlive the test, however that ends
       const int log = ::open((folder_ + "/sidecar.log").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
       ::dup2(log, 1);
       ::dup2(log, 2);
