--- a/review/stand_in/crowded_discovery.cpp
+++ b/review/stand_in/crowded_discovery.cpp
@@ -9,7 +9,7 @@
                                         // 5 sidecars, "some far more"
 constexpr int kRetries = 3;             // BRIEF 5.1: "up to 3 times, at once"
 constexpr std::size_t kBody = 65536;     // PROTOCOL: "A body holds at most 64 KiB"
-constexpr int kMemoryMb = 48;           // REPORTS: "memory MB [2, 1] of 48"; TERMS: "32 to 192 MB of memory"
+constexpr int kMemoryMb = 40;           // TERMS: "32 to 192 MB of memory by language and day"
 constexpr double kLength = 58;
 struct Crowd {
   double from, until;
