--- a/review/stand_in/stand_in.hpp
+++ b/review/stand_in/stand_in.hpp
@@ -300,7 +300,7 @@
 
 // Accepts connections and handles each on a thread of its own. The threads are not joined: the process ends
 // with _exit after the verdict.
-inline void AcceptForever(int listener, std::function<void(Socket)> handle) {
+inline void AcceptForever(int listener, std::function<void(Socket&)> handle) {
   std::thread([listener, handle = std::move(handle)] {
     for (;;) {
       const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
@@ -310,7 +310,10 @@
       }
       const int on = 1;
       ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      std::thread([handle, fd] { handle(Socket(fd)); }).detach();
+      std::thread([handle, fd] {
+        Socket socket(fd);
+        handle(socket);
+      }).detach();
     }
   }).detach();
 }
@@ -342,7 +345,7 @@
     listener_ = Listen(port_);
     if (receive_buffer > 0)
       ::setsockopt(listener_.fd(), SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
-    AcceptForever(listener_.fd(), [this](Socket socket) { Serve(socket); });
+    AcceptForever(listener_.fd(), [this](Socket& socket) { Serve(socket); });
   }
   int port() const { return port_; }
   std::atomic<int> requests{0};
@@ -382,30 +385,65 @@
 
 // ---- Discovery ----
 
+// Discovery with a single list. Watches are told changes at once.
 class Discovery {
  public:
   explicit Discovery(std::vector<std::unique_ptr<Server>>& servers) : servers_(servers) {}
 
   void Start() {
     listener_ = Listen(port_);
-    AcceptForever(listener_.fd(), [this](Socket socket) { Serve(socket); });
+    AcceptForever(listener_.fd(), [this](Socket& socket) { Serve(socket); });
   }
   int port() const { return port_; }
-  // While discovery is crowded, a call waits in turn and fails with 503 when it has waited too long. Watches that
-  // are open when it begins fall silent and stay so.
-  void SetCrowded(bool crowded) {
-    crowded_ = crowded;
-    RECORD("discovery: %s", crowded ? "crowded: open watches fall silent, calls wait and end in 503" : "in order again");
+
+  // While discovery is crowded, a call waits in turn for this long. It is answered then, or ends in 503 if
+  // `fails`. 0 = not crowded. Open watches are not affected.
+  void SetCrowded(double seconds, bool fails) {
+    const std::lock_guard lock(mutex_);
+    wait_ = seconds;
+    fails_ = fails;
+    RECORD("discovery: %s", seconds > 0 ? "crowded" : "not crowded");
+  }
+  // While discovery is down, watches end and each call ends in 503.
+  void SetDown(bool down) {
+    const std::lock_guard lock(mutex_);
+    down_ = down;
+    RECORD("discovery: %s", down ? "down" : "up again");
+  }
+  // Resets the watches that are open now.
+  void ResetWatches() {
+    const std::lock_guard lock(mutex_);
+    ++resets_;
+    RECORD("discovery: all open watches are reset");
+  }
+  // These servers begin to drain: a change of the list.
+  void Drain(const std::vector<std::size_t>& indices) {
+    const std::lock_guard lock(mutex_);
+    for (const std::size_t i : indices) {
+      servers_[i]->lifecycle = "draining";
+      RECORD("discovery: server %s is listed as draining from now on", servers_[i]->id.c_str());
+    }
+    ++generation_;
+  }
+  // The number of watches that have been told the list of now.
+  int watches_up_to_date() const {
+    const std::lock_guard lock(mutex_);
+    return static_cast<int>(std::count_if(told_.begin(), told_.end(),
+                                          [this](const auto& watch) { return watch.second == generation_; }));
   }
 
   std::string WholeList() const {
+    const std::lock_guard lock(mutex_);
+    return List();
+  }
+
+ private:
+  std::string List() const {
     std::string out = "{\"generation\":" + std::to_string(generation_) + ",\"reset\":true,\"instances\":[";
     for (const auto& server : servers_) out += Entry(*server) + ",";
     if (out.back() == ',') out.pop_back();
     return out + "]}";
   }
-
- private:
   static std::string Entry(const Server& server) {
     return "{\"instanceId\":\"" + server.id + "\",\"hostPort\":\"" + Address(server.port()) + "\",\"zone\":\"" +
            server.zone + "\",\"machineType\":\"middel\",\"cell\":1,\"lifecycle\":\"" + server.lifecycle +
@@ -416,53 +454,86 @@
     std::snprintf(size, sizeof size, "%zx\r\n", text.size());
     return socket.Send(size + text + "\r\n");
   }
+  static void Fail(const Socket& socket) {
+    socket.Send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    char byte;
+    while (socket.Receive(&byte, 1, 1) > 0) continue;
+  }
 
-  void Serve(const Socket& socket) {
+  void Serve(Socket& socket) {
     Reader reader(socket);
     Head head;
     if (reader.ReadHead(head, Now() + 10) != Reader::End::kComplete) return;
+    double wait;
+    bool fails, down;
+    {
+      const std::lock_guard lock(mutex_);
+      wait = wait_, fails = fails_, down = down_;
+    }
     RECORD("discovery: call %s", head.first_line.c_str());
-    if (crowded_) {
-      Sleep(kLongestWait);
-      RECORD("discovery: the call waited too long, 503");
-      socket.Send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
-      Sleep(0.2);
-      return;
+    if (down) return RECORD("discovery: 503, it is down"), Fail(socket);
+    if (wait > 0) {
+      Sleep(wait);
+      if (fails) return RECORD("discovery: 503, the call waited for %.1f s", wait), Fail(socket);
     }
     if (head.first_line.find("stream=1") == std::string::npos) {
       const std::string list = WholeList() + "\n";
+      RECORD("discovery: answered with the whole list");
       socket.Send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
                   std::to_string(list.size()) + "\r\n\r\n" + list);
       Sleep(0.2);
       return;
     }
+    Watch(socket);
+  }
+
+  // The first object is the whole list, and so is each later one, which the protocol allows as well as changes.
+  void Watch(Socket& socket) {
     if (!socket.Send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"))
       return;
-    if (!SendChunk(socket, WholeList() + "\n")) return;
-    for (;;) {  // an empty line every 2 s while nothing changes
-      Sleep(2);
-      if (crowded_) {  // silent until the sidecar closes
-        char byte;
-        while (socket.Receive(&byte, 1, 600) > 0) continue;
-        return;
+    std::unique_lock lock(mutex_);
+    const int resets = resets_;
+    int& told = told_[socket.fd()] = -1;
+    double line_due = 0;
+    for (;;) {
+      if (told != generation_) {
+        if (!SendChunk(socket, List() + "\n")) break;
+        told = generation_;
+        line_due = Now() + 2;
+        RECORD("discovery: the list of version %d is written to a watch", told);
+      } else if (Now() >= line_due) {  // an empty line every 2 s while nothing changes
+        if (!SendChunk(socket, "\n")) break;
+        line_due += 2;
       }
-      if (!SendChunk(socket, "\n")) return;
+      lock.unlock();
+      Sleep(0.005);
+      char byte;
+      const ssize_t got = socket.Receive(&byte, 1, 0);
+      lock.lock();
+      if (got == 0 || got == -1 || resets != resets_ || down_) break;
     }
+    told_.erase(socket.fd());
+    if (resets != resets_) return socket.Reset();
+    if (down_) socket.Send("0\r\n\r\n");  // the end of the chunked answer
   }
 
-  static constexpr double kLongestWait = 3;  // the site file's timeout_ms
-
   std::vector<std::unique_ptr<Server>>& servers_;
   Socket listener_;
   int port_ = 0;
+  mutable std::mutex mutex_;
   int generation_ = 41;
-  std::atomic<bool> crowded_{false};
+  std::map<int, int> told_;  // the version that each open watch was told last, by descriptor
+  int resets_ = 0;
+  double wait_ = 0;
+  bool fails_ = false;
+  bool down_ = false;
 };
 
 // ---- The sidecar, as the platform starts it ----
 
-inline std::string Settings() {
-  return R"({"allowed":{"cancel":true,"conn_idle_us":60000000,"cpu_us_per_request":10.0,"cpu_us_per_s":8000,
+// The settings of a sidecar of the site lichtnet-prod.
+inline std::string LichtnetSettings() {
+  return R"json({"allowed":{"cancel":true,"conn_idle_us":60000000,"cpu_us_per_request":10.0,"cpu_us_per_s":8000,
 "dial_timeout_us":250000,"max_attempts":4,"max_retry_after_us":2000000,"open_cap":20000,"parallel_tries":true,
 "peers":false,"probes":false,"retry_after":true,"streams_per_conn":1},
 "azs":["utrecht","zwolle","eindhoven"],"callers":{"marks_retry":true},
@@ -477,9 +548,34 @@
 "over_share_worth":0.05,"quantum_us":5000,"rank":0,
 "rules":{"answer_slack_us":20000,"ask_within_us":10000000,"cold_from":0.3,"drain_grace_us":2000000,
 "fall_us":1500000,"overload_factor":3.0,"warm_after_us":8800000},
-"siblings":3,"stages":["schakel"],"telemetry":{"fields":["pending","cpu_share"],"via":"answers"},
+"siblings":4,"stages":["schakel"],"telemetry":{"fields":["pending","cpu_share"],"via":"answers"},
 "tenants":[{"name":"gem-a","quota_per_s":20.0,"share":0.23},{"name":"gem-b","quota_per_s":14.0,"share":0.16}],
-"tier":0,"value_by":"work","weights":"rough"})";
+"tier":0,"value_by":"work","weights":"rough"})json";
+}
+
+// The settings of a sidecar of the site push-unsafe (harbour), where discovery pushes its list.
+inline std::string HarbourSettings() {
+  return R"json({"allowed":{"cancel":true,"conn_idle_us":12000000,"cpu_us_per_request":10.0,"cpu_us_per_s":8000,
+"dial_timeout_us":180000,"max_attempts":3,"max_retry_after_us":700000,"open_cap":20000,"parallel_tries":false,
+"peers":false,"probes":false,"retry_after":true,"streams_per_conn":1},
+"azs":["utrecht","zwolle","eindhoven"],"callers":{"marks_retry":true},
+"costs":{"connection":0.0,"cross_zone":0.06,"handshake":0.0,"late_fail":0.05,"membership_mode":0.0,"moves":0.0,
+"origin":0.0,"peer":0.0,"probe":0.0,"waste":0.1},"domain":{"warm_keys":false},"family":"mesh",
+"goal":{"whole":0.3,"worst_class":0.2,"worst_tenant":0.1,"worst_window":0.4},
+"grades":[{"aim_us":450000,"group":"all","hard_limit_us":900000,"importance":2.0,"late_value":0.2,
+"name":"berth%2Flook?","repeat":"idempotent","stream":false,"window_us":5000000},
+{"aim_us":500000,"group":"all","hard_limit_us":700000,"importance":6.0,"late_value":0.0,
+"name":"crane:move","repeat":"at_most_once","stream":false,"window_us":5000000},
+{"aim_us":900000,"group":"all","hard_limit_us":2400000,"importance":4.0,"late_value":0.5,
+"name":"manifest(new)","repeat":"deduplicated","stream":false,"window_us":9000000}],
+"host_types":["groot","middel","klein"],"membership_mode":"automatic","my_zone":"eindhoven",
+"over_share_worth":0.05,"quantum_us":5000,"rank":0,
+"rules":{"answer_slack_us":20000,"ask_within_us":10000000,"cold_from":0.3,"drain_grace_us":700000,
+"fall_us":1500000,"overload_factor":3.0,"warm_after_us":8800000},
+"siblings":4,"stages":["schakel"],"telemetry":{"fields":["pending","cpu_share"],"via":"answers"},
+"tenants":[{"name":"quay 1, north","quota_per_s":40.0,"share":0.45},
+{"name":"o'hare&sons","quota_per_s":27.0,"share":0.3}],
+"tier":0,"value_by":"work","weights":"rough"})json";
 }
 
 class Sidecar {
@@ -489,16 +585,26 @@
       : run_(std::move(run)), root_(std::move(root)), folder_(std::move(folder)) {}
   ~Sidecar() { Kill(); }
 
-  void Start(const Discovery& discovery) {
-    port_ = FreePort();
+  std::string settings = LichtnetSettings();
+  int memory_mb = 192;
+  int sockets = 1024;
+  std::string seed = "8c1f30d27a5be964";
+
+  // Starts a new process, again with the same address, and waits until it is ready. `known` is the last list
+  // that this sidecar had.
+  void Start(const Discovery& discovery, const std::string& known) {
+    if (port_ == 0) port_ = FreePort();
     const std::string config = folder_ + "/config.json";
     std::ofstream(config) << "{\"name\":\"n3\",\"listen\":\"" << Address(port_) << "\",\"discovery\":\""
-                          << Address(discovery.port())
-                          << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
-                          << memory_mb << ",\"sockets\":1024},\"known\":"
-                          << discovery.WholeList() << ",\"settings\":" << Settings() << "}";
+                          << Address(discovery.port()) << "\",\"seed\":\"" << seed
+                          << "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" << memory_mb
+                          << ",\"sockets\":" << sockets << "},\"known\":" << known
+                          << ",\"settings\":" << settings << "}";
     const std::string temporary = folder_ + "/tmp";
+    std::filesystem::remove_all(temporary);
     std::filesystem::create_directory(temporary);
+    ended_ = false;
+    started_at_ = Now();
     pid_ = ::fork();
     if (pid_ < 0) throw CannotRun{"cannot start a process"};
     if (pid_ == 0) {
@@ -510,10 +616,10 @@
       ::setenv("EDGE_LISTEN", Address(port_).c_str(), 1);
       ::setenv("EDGE_DISCOVERY", Address(discovery.port()).c_str(), 1);
       ::setenv("EDGE_CONFIG", config.c_str(), 1);
-      ::setenv("EDGE_TRACE", "1", 1);
       ::setenv("TMPDIR", temporary.c_str(), 1);
       ::unsetenv("EDGE_MGMT");
       ::unsetenv("EDGE_ACCEPT_FD");
+      ::unsetenv("EDGE_TRACE");
       if (::chdir(root_.c_str()) != 0) ::_exit(127);
       ::execl("/bin/sh", "sh", "-c", run_.c_str(), nullptr);
       ::_exit(127);
@@ -521,8 +627,8 @@
     WaitUntilReady();
   }
 
+  double started_at() const { return started_at_; }
   int port() const { return port_; }
-  int memory_mb = 192;
   // The private memory of the process, in MB.
   double MemoryMb() const {
     std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
@@ -560,17 +666,18 @@
         Head head;
         if (reader.ReadHead(head, Now() + 1) == Reader::End::kComplete &&
             head.first_line.find(" 200") != std::string::npos) {
-          RECORD("platform: the sidecar is ready");
+          RECORD("platform: the sidecar is ready, %.3f s after its start", Now() - started_at_);
           return;
         }
       }
-      Sleep(0.05);
+      Sleep(0.01);
     }
     throw CannotRun{"the sidecar did not become ready"};
   }
 
   const std::string run_, root_, folder_;
   int port_ = 0;
+  double started_at_ = 0;
   pid_t pid_ = -1;
   int status_ = 0;
   bool ended_ = false;
@@ -592,11 +699,19 @@
       servers.back()->zone = zones[i % 3];
     }
   }
-  // Starts servers, discovery and the sidecar, and waits until the sidecar watches the list.
+  // Starts servers, discovery and the sidecar, and waits until the sidecar has been told the list.
   void Start() {
     for (const auto& server : servers) server->Start();
     discovery->Start();
-    sidecar->Start(*discovery);
+    sidecar->Start(*discovery, discovery->WholeList());
+    WaitUntilTold(15);
+  }
+  void WaitUntilTold(double seconds) const {
+    const double until = Now() + seconds;
+    while (discovery->watches_up_to_date() == 0) {
+      if (Now() > until) throw CannotRun{"the sidecar opened no watch"};
+      Sleep(0.02);
+    }
   }
 };
 
