--- a/review/stand_in/memory.cpp
+++ b/review/stand_in/memory.cpp
@@ -1,4 +1,4 @@
-// Case 1: discovery is down for 8 s while the application sends requests with bodies.
+// Case: discovery is down for 8 s while the application sends requests with bodies.
 #include "stand_in.hpp"
 
 using namespace review;
--- a/review/stand_in/slow_client.cpp
+++ b/review/stand_in/slow_client.cpp
@@ -1,4 +1,4 @@
-// A client reads a large answer slowly and steadily, while the server gives it at once.
+// Case: a client reads a large answer slowly and steadily, while the server gives it at once.
 #include "stand_in.hpp"
 
 using namespace review;
--- a/review/stand_in/stand_in.hpp
+++ b/review/stand_in/stand_in.hpp
@@ -385,7 +385,7 @@
 
 // ---- Discovery ----
 
-// Discovery with a single list. Watches are told changes at once.
+// Discovery with a single list that does not change.
 class Discovery {
  public:
   explicit Discovery(std::vector<std::unique_ptr<Server>>& servers) : servers_(servers) {}
@@ -396,54 +396,26 @@
   }
   int port() const { return port_; }
 
-  // While discovery is crowded, a call waits in turn for this long. It is answered then, or ends in 503 if
-  // `fails`. 0 = not crowded. Open watches are not affected.
-  void SetCrowded(double seconds, bool fails) {
-    const std::lock_guard lock(mutex_);
-    wait_ = seconds;
-    fails_ = fails;
-    RECORD("discovery: %s", seconds > 0 ? "crowded" : "not crowded");
-  }
   // While discovery is down, watches end and each call ends in 503.
   void SetDown(bool down) {
     const std::lock_guard lock(mutex_);
     down_ = down;
     RECORD("discovery: %s", down ? "down" : "up again");
   }
-  // Resets the watches that are open now.
-  void ResetWatches() {
-    const std::lock_guard lock(mutex_);
-    ++resets_;
-    RECORD("discovery: all open watches are reset");
-  }
-  // These servers begin to drain: a change of the list.
-  void Drain(const std::vector<std::size_t>& indices) {
+  // The number of open watches that have been told the list.
+  int watches() const {
     const std::lock_guard lock(mutex_);
-    for (const std::size_t i : indices) {
-      servers_[i]->lifecycle = "draining";
-      RECORD("discovery: server %s is listed as draining from now on", servers_[i]->id.c_str());
-    }
-    ++generation_;
-  }
-  // The number of watches that have been told the list of now.
-  int watches_up_to_date() const {
-    const std::lock_guard lock(mutex_);
-    return static_cast<int>(std::count_if(told_.begin(), told_.end(),
-                                          [this](const auto& watch) { return watch.second == generation_; }));
+    return watches_;
   }
 
   std::string WholeList() const {
-    const std::lock_guard lock(mutex_);
-    return List();
-  }
-
- private:
-  std::string List() const {
-    std::string out = "{\"generation\":" + std::to_string(generation_) + ",\"reset\":true,\"instances\":[";
+    std::string out = "{\"generation\":41,\"reset\":true,\"instances\":[";
     for (const auto& server : servers_) out += Entry(*server) + ",";
     if (out.back() == ',') out.pop_back();
     return out + "]}";
   }
+
+ private:
   static std::string Entry(const Server& server) {
     return "{\"instanceId\":\"" + server.id + "\",\"hostPort\":\"" + Address(server.port()) + "\",\"zone\":\"" +
            server.zone + "\",\"machineType\":\"middel\",\"cell\":1,\"lifecycle\":\"" + server.lifecycle +
@@ -460,22 +432,18 @@
     while (socket.Receive(&byte, 1, 1) > 0) continue;
   }
 
+  bool IsDown() const {
+    const std::lock_guard lock(mutex_);
+    return down_;
+  }
+
   void Serve(Socket& socket) {
     Reader reader(socket);
     Head head;
     if (reader.ReadHead(head, Now() + 10) != Reader::End::kComplete) return;
-    double wait;
-    bool fails, down;
-    {
-      const std::lock_guard lock(mutex_);
-      wait = wait_, fails = fails_, down = down_;
-    }
+    const bool down = IsDown();
     RECORD("discovery: call %s", head.first_line.c_str());
     if (down) return RECORD("discovery: 503, it is down"), Fail(socket);
-    if (wait > 0) {
-      Sleep(wait);
-      if (fails) return RECORD("discovery: 503, the call waited for %.1f s", wait), Fail(socket);
-    }
     if (head.first_line.find("stream=1") == std::string::npos) {
       const std::string list = WholeList() + "\n";
       RECORD("discovery: answered with the whole list");
@@ -487,45 +455,36 @@
     Watch(socket);
   }
 
-  // The first object is the whole list, and so is each later one, which the protocol allows as well as changes.
+  // The first object is the whole list. An empty line follows every 2 s, as nothing changes.
   void Watch(Socket& socket) {
-    if (!socket.Send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"))
+    if (!socket.Send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n") ||
+        !SendChunk(socket, WholeList() + "\n"))
       return;
-    std::unique_lock lock(mutex_);
-    const int resets = resets_;
-    int& told = told_[socket.fd()] = -1;
-    double line_due = 0;
-    for (;;) {
-      if (told != generation_) {
-        if (!SendChunk(socket, List() + "\n")) break;
-        told = generation_;
-        line_due = Now() + 2;
-        RECORD("discovery: the list of version %d is written to a watch", told);
-      } else if (Now() >= line_due) {  // an empty line every 2 s while nothing changes
-        if (!SendChunk(socket, "\n")) break;
-        line_due += 2;
-      }
-      lock.unlock();
-      Sleep(0.005);
+    RECORD("discovery: the list is written to a watch");
+    CountWatch(1);
+    double line_due = Now() + 2;
+    bool open = true;
+    while (open && !IsDown()) {
       char byte;
-      const ssize_t got = socket.Receive(&byte, 1, 0);
-      lock.lock();
-      if (got == 0 || got == -1 || resets != resets_ || down_) break;
+      const ssize_t got = socket.Receive(&byte, 1, 0.01);
+      open = got > 0 || got == -2;
+      if (Now() < line_due) continue;
+      line_due += 2;
+      open = open && SendChunk(socket, "\n");
     }
-    told_.erase(socket.fd());
-    if (resets != resets_) return socket.Reset();
-    if (down_) socket.Send("0\r\n\r\n");  // the end of the chunked answer
+    CountWatch(-1);
+    if (open) socket.Send("0\r\n\r\n");  // the end of the chunked answer
+  }
+  void CountWatch(int change) {
+    const std::lock_guard lock(mutex_);
+    watches_ += change;
   }
 
   std::vector<std::unique_ptr<Server>>& servers_;
   Socket listener_;
   int port_ = 0;
   mutable std::mutex mutex_;
-  int generation_ = 41;
-  std::map<int, int> told_;  // the version that each open watch was told last, by descriptor
-  int resets_ = 0;
-  double wait_ = 0;
-  bool fails_ = false;
+  int watches_ = 0;
   bool down_ = false;
 };
 
@@ -708,7 +667,7 @@
   }
   void WaitUntilTold(double seconds) const {
     const double until = Now() + seconds;
-    while (discovery->watches_up_to_date() == 0) {
+    while (discovery->watches() == 0) {
       if (Now() > until) throw CannotRun{"the sidecar opened no watch"};
       Sleep(0.02);
     }
