A shutdown completes the answers that it is still sending before the process ends

The server was still sending; no SIGKILL had been sent.

Cause: Sidecar::ShutDownGracefully ended the process at drain_end_ + kAnswerReadTime whatever connections were open. A request leaves pending_requests_ when its streamed answer begins, so only the open session stood for it, and that was not waited for any more.

Evidence: the process ended 3.56 s after SIGTERM, which is 3 s of deadline + 0.25 s + 0.3 s and one poll.

Fix: the process ends when no request is without its complete answer: pending ones, those whose answer is being sent, and those that have arrived in part. Each has a timeout of its own, so a client that stops reading or a server that stops sending delays the end by 5 s at most. Requests without an answer are failed as before; that is now repeated at each poll, as requests may still arrive while a long answer is sent.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -73,6 +73,8 @@
   // Idle since it was accepted.
   bool Unused() const { return fresh_ && Idle(); }
   bool Lingering() const { return state_ == State::kLingering; }
+  // Whether the client has sent a request, or part of one, that has not been answered completely.
+  bool AwaitsAnswer() const { return !Lingering() && !Idle(); }
   // Whether a timeout of this length has passed in the current state.
   bool TimedOut(Clock::time_point now, Micros timeout) const {
     return now - timeout_start_ >= std::chrono::microseconds(timeout);
@@ -585,6 +587,11 @@
     if (session->Idle() && session->TimedOut(now, session->Unused() ? unused : reused)) session->Close();
 }
 
+std::size_t Inbound::unanswered_requests() const {
+  return static_cast<std::size_t>(std::count_if(
+      sessions_.begin(), sessions_.end(), [](const SessionPtr& session) { return session->AwaitsAnswer(); }));
+}
+
 void Inbound::SetSoftLimit(std::size_t sessions) {
   limits_.soft_max_sessions = sessions;
   while (sessions_.size() > limits_.soft_max_sessions && EvictLeastUseful()) continue;
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -104,6 +104,8 @@
 
   // Open connections, including those that are being rejected or closed.
   std::size_t sessions() const { return sessions_.size(); }
+  // Connections whose client has sent a request, or part of one, that has not been answered completely.
+  std::size_t unanswered_requests() const;
   Tcp::endpoint address() const { return address_; }
 
  private:
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -48,7 +48,7 @@
 // idle this long are closed: a client is unlikely to use one of them next, so the close rarely crosses a
 // request.
 constexpr Micros kIdleAfterTakeover = 300 * kMs;
-constexpr Micros kAnswerReadTime = 300 * kMs;  // for clients to read the answers sent at the drain's end
+constexpr Micros kAnswerReadTime = 300 * kMs;  // for clients to read the answers written last
 constexpr Micros kDrainPoll = 20 * kMs;
 // The longest time that a streamed body may take in all; the connections enforce its minimum rate.
 constexpr Micros kMaxUpload = 600 * kSecond;
@@ -699,17 +699,21 @@
   });
 }
 
-// Polls until all answers have been sent: a session ends only when its client has read its answer.
+// Polls until every request has its complete answer, however long the answer takes: the end of the process
+// would cut it off. A server that stops sending and a client that stops reading are ended by their own
+// timeouts, and the platform kills a process that takes too long.
 void Sidecar::ShutDownGracefully() {
   const Micros now = Now();
   const bool over = now >= drain_end_;
-  if (over && !std::exchange(pending_requests_expired_, true)) ExpirePendingRequests();
+  if (over) ExpirePendingRequests();
   if (over || !config_.accept_fd) {
     inbound_->CloseIdle(0, 0);
   } else {
     inbound_->CloseIdle(kIdleAfterTakeover, Inbound::Limits{}.request_timeout);
   }
-  if (pending_requests_.empty() && (inbound_->sessions() == 0 || now >= drain_end_ + kAnswerReadTime))
+  const bool answered = pending_requests_.empty() && inbound_->unanswered_requests() == 0;
+  if (!over || !answered) answer_read_end_ = now + kAnswerReadTime;
+  if (answered && (inbound_->sessions() == 0 || now >= answer_read_end_))
     return std::exchange(on_drained_, nullptr)();
   drain_timer_.expires_after(std::chrono::microseconds(kDrainPoll));
   drain_timer_.async_wait([this](ErrorCode error) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -160,8 +160,8 @@
   std::map<std::string_view, int> unsuccessful_;  // by reason, since the last log line
   std::uint64_t started_by_last_log_ = 0;         // requests started until the last log line
   std::function<void()> on_drained_;
-  Micros drain_end_ = 0;                   // 0 unless draining
-  bool pending_requests_expired_ = false;  // ExpirePendingRequests has been called
+  Micros drain_end_ = 0;        // when requests without an answer are failed; 0 unless draining
+  Micros answer_read_end_ = 0;  // clients may read the answers written last until then
 };
 
 }  // namespace merlinrun::net
