The steps of a graceful shutdown move from Sidecar into GracefulShutdown

sidecar.cpp held the shutdown's constants, timer and state among the handling of requests. They are now one class, which knows the Inbound and asks the Sidecar only whether requests are pending and to fail them. Behaviour stays: the same times, order and conditions. On a shared listener the first step runs in the next iteration of the event loop instead of within Sidecar::Drain, and requests that are failed get the present time as their deadline instead of the time at which that began.

--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -37,19 +37,6 @@
 // busy event loop runs late. The margin takes at most kMaxMarginShare of a short budget.
 constexpr Micros kAnswerMargin = 40 * kMs;
 constexpr double kMaxMarginShare = 0.2;
-// After SIGTERM new connections still arrive for up to 0.4 s, so the listener stays open a little longer.
-constexpr Micros kAcceptAfterDrain = 550 * kMs;
-// Then the connections that were accepted last have this long to send a request.
-constexpr Micros kIdleAfterDrain = 150 * kMs;
-// The process is killed 0.7 s after the longest deadline, of which at most 3 s are counted.
-constexpr Micros kMaxDeadline = 3 * kSecond;
-constexpr Micros kDrainSlack = 250 * kMs;
-// On a shared listener the next process accepts new connections. Only kept-alive connections that have been
-// idle this long are closed: a client is unlikely to use one of them next, so the close rarely crosses a
-// request.
-constexpr Micros kIdleAfterTakeover = 300 * kMs;
-constexpr Micros kAnswerReadTime = 300 * kMs;  // for clients to read the answers written last
-constexpr Micros kDrainPoll = 20 * kMs;
 // The longest time that a streamed body may take in all; the connections enforce its minimum rate.
 constexpr Micros kMaxUpload = 600 * kSecond;
 // How often the shared folder is read. Changes by another process must take effect here within 1 s.
@@ -149,7 +136,6 @@
                   },
                   [this](Micros within) { OnDiscoveryFailed(within); },
                   /*on_object=*/{}, [this] { OnDiscoverySignOfLife(); }}),
-      drain_timer_(io),
       shared_dir_timer_(io),
       log_timer_(io) {
   if (config_.accept_fd) shared_dir_.AcquirePresenceLock();
@@ -196,7 +182,7 @@
 
 // ---- Management endpoint ----
 
-bool Sidecar::Ready() const { return drain_end_ == 0 && upstream_.any_server(); }
+bool Sidecar::Ready() const { return shutdown_ == nullptr && upstream_.any_server(); }
 
 std::string Sidecar::StatsJson() {
   nlohmann::ordered_json stats;
@@ -297,7 +283,7 @@
     budget = budget > 0 ? std::min(budget, requested) : requested;
   }
   budget -= std::min(kAnswerMargin, static_cast<Micros>(kMaxMarginShare * static_cast<double>(budget)));
-  return drain_end_ > 0 ? std::clamp<Micros>(drain_end_ - Now(), 0, budget) : budget;
+  return shutdown_ != nullptr ? std::min(shutdown_->time_left(), budget) : budget;
 }
 
 void Sidecar::OnRequest(const Inbound::SessionPtr& session, Message<true> request) {
@@ -678,56 +664,26 @@
 }
 
 void Sidecar::Drain(std::function<void()> on_drained) {
-  if (drain_end_ > 0) return;
-  on_drained_ = std::move(on_drained);
-  Micros longest = 0;
-  for (const RequestClass& c : config_.wire.settings.classes) longest = std::max(longest, c.deadline);
-  drain_end_ = Now() + (longest > 0 ? std::min(longest, kMaxDeadline) : kMaxDeadline) + kDrainSlack;
-  inbound_->Drain();
-  if (config_.accept_fd) {
-    inbound_->StopAccepting();
-    return ShutDownGracefully();
-  }
-  drain_timer_.expires_after(std::chrono::microseconds(kAcceptAfterDrain));
-  drain_timer_.async_wait([this](ErrorCode error) {
-    if (error) return;
-    inbound_->StopAccepting();
-    drain_timer_.expires_after(std::chrono::microseconds(kIdleAfterDrain));
-    drain_timer_.async_wait([this](ErrorCode stopped) {
-      if (!stopped) ShutDownGracefully();
-    });
-  });
-}
-
-// Polls until every request has its complete answer, however long the answer takes: the end of the process
-// would cut it off. A server that stops sending and a client that stops reading are ended by their own
-// timeouts, and the platform kills a process that takes too long.
-void Sidecar::ShutDownGracefully() {
-  const Micros now = Now();
-  const bool over = now >= drain_end_;
-  if (over) ExpirePendingRequests();
-  if (over || !config_.accept_fd) {
-    inbound_->CloseIdle(0, 0);
-  } else {
-    inbound_->CloseIdle(kIdleAfterTakeover, Inbound::Limits{}.request_timeout);
-  }
-  const bool answered = pending_requests_.empty() && inbound_->unanswered_requests() == 0;
-  if (!over || !answered) answer_read_end_ = now + kAnswerReadTime;
-  if (answered && (inbound_->sessions() == 0 || now >= answer_read_end_))
-    return std::exchange(on_drained_, nullptr)();
-  drain_timer_.expires_after(std::chrono::microseconds(kDrainPoll));
-  drain_timer_.async_wait([this](ErrorCode error) {
-    if (!error) ShutDownGracefully();
-  });
+  if (shutdown_ != nullptr) return;
+  GracefulShutdown::Settings settings;
+  settings.shared_listener = config_.accept_fd.has_value();
+  for (const RequestClass& c : config_.wire.settings.classes)
+    settings.longest_deadline = std::max(settings.longest_deadline, c.deadline);
+  GracefulShutdown::PendingRequests requests;
+  requests.empty = [this] { return pending_requests_.empty(); };
+  requests.expire = [this] { ExpirePendingRequests(); };
+  shutdown_ = std::make_unique<GracefulShutdown>(io_, *inbound_, settings, std::move(requests),
+                                                 std::move(on_drained));
 }
 
 // Ends the requests that would outlast the process, which is killed soon: a failure answer now is better
 // than none.
 void Sidecar::ExpirePendingRequests() {
+  const Micros now = Now();
   std::vector<std::string> ids;
   for (auto& [id, pending] : pending_requests_) {
-    pending.deadline = drain_end_;
-    for (Attempt& attempt : pending.attempts) attempt.expires_at = std::min(attempt.expires_at, drain_end_);
+    pending.deadline = now;
+    for (Attempt& attempt : pending.attempts) attempt.expires_at = std::min(attempt.expires_at, now);
     ids.push_back(id);
   }
   for (const std::string& id : ids) OnRequestTimer(id);
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -20,6 +20,7 @@
 #include "config.hpp"
 #include "counters.hpp"
 #include "discovery.hpp"
+#include "graceful_shutdown.hpp"
 #include "inbound.hpp"
 #include "management.hpp"
 #include "merlinrun/balancer.hpp"
@@ -44,8 +45,8 @@
   // Switches to the discovery address of a new configuration; every other setting keeps its value from the
   // start. The current list stays in use until the new discovery has sent one.
   void Reload(const Config& config);
-  // Shuts down gracefully: accepts new connections for a short while (none on a listener that is shared with
-  // the next process), completes all pending requests, then calls `on_drained`.
+  // Begins a graceful shutdown (see GracefulShutdown), which calls `on_drained` at its end. A second call
+  // does nothing.
   void Drain(std::function<void()> on_drained);
 
   Tcp::endpoint address() const { return inbound_->address(); }
@@ -135,7 +136,6 @@
   void ScheduleSharedDirPoll();
   // Reads the state that the processes of this sidecar share, applies it, and schedules the next poll.
   void PollSharedDir();
-  void ShutDownGracefully();
   void ExpirePendingRequests();
 
   asio::io_context& io_;
@@ -152,16 +152,13 @@
   PendingRequests pending_requests_;             // by request id
   std::unordered_set<std::string> ever_listed_;  // servers
   std::set<std::string> admin_down_;             // servers
-  asio::steady_timer drain_timer_;
   asio::steady_timer shared_dir_timer_;
   int shared_dir_polls_ = 0;
   bool other_process_alive_ = false;  // another process of this sidecar is running
   asio::steady_timer log_timer_;
   std::map<std::string_view, int> unsuccessful_;  // by reason, since the last log line
   std::uint64_t started_by_last_log_ = 0;         // requests started until the last log line
-  std::function<void()> on_drained_;
-  Micros drain_end_ = 0;        // when requests without an answer are failed; 0 unless draining
-  Micros answer_read_end_ = 0;  // clients may read the answers written last until then
+  std::unique_ptr<GracefulShutdown> shutdown_;    // null until Drain is called
 };
 
 }  // namespace merlinrun::net
--- a/tests/faults/soak_rules.cpp
+++ b/tests/faults/soak_rules.cpp
@@ -20,7 +20,7 @@
 // Callers wait for an answer until this long after the deadline; see kAnswerTolerance in caller.cpp.
 constexpr auto kAnswerTolerance = milliseconds(500);
 // For this long after SIGTERM the sidecar waits for new requests, on new connections too; see
-// Sidecar::Drain() in src/net/sidecar.cpp. An accepted request that was sent later must be answered, as the
+// src/net/graceful_shutdown.cpp. An accepted request that was sent later must be answered, as the
 // sidecar must not accept it then and leave it to SIGKILL. One that was in progress at SIGTERM, or was sent
 // up to this long after it, may go unanswered, but only if the sidecar had not ended by itself before
 // SIGKILL.
--- a/tests/faults/soak_run.cpp
+++ b/tests/faults/soak_run.cpp
@@ -32,7 +32,7 @@
 constexpr double kNewConnectionTime = 0.3;  // after SIGTERM, new connections are opened for this long
 // From SIGTERM to SIGKILL: the longest deadline (kMaxDeadline in caller.cpp, and hard_limit_us in the
 // sidecar's settings) and 0.7 s. It is the earliest SIGKILL that the sidecar has to expect; see
-// Sidecar::Drain() in src/net/sidecar.cpp and the constants for it.
+// src/net/graceful_shutdown.cpp.
 constexpr double kKillDelay = 2.0 + 0.7;
 constexpr auto kTick = milliseconds(5);
 constexpr auto kMinStall = milliseconds(20);  // a tick that is late by more than this is recorded as a stall
