Clients have their time to read the last answers also with short deadlines

With a longest deadline under 0.45 s all requests of a shutdown are over before its first step at 0.7 s. The time to read the answers written last then counted from nothing, so the process could end at once while clients were reading them, up to 0.3 s earlier than before (0.3 s after the end of the requests). It now counts from that end. Found by reading; no test of its own: the kernel delivers such answers after the end of the process.

--- a/src/net/graceful_shutdown.cpp
+++ b/src/net/graceful_shutdown.cpp
@@ -39,6 +39,7 @@
       requests_(std::move(requests)),
       done_(std::move(done)),
       requests_end_(Clock::now() + RequestTime(settings.longest_deadline)),
+      answers_read_end_(requests_end_ + kAnswerReadTime),
       timer_(io) {
   inbound_.Drain();
   if (settings_.shared_listener) {
