Log how many requests are kept in memory

The log and the figures counted only requests without an answer, so they could not tell whether requests, connections or the allocator keep that memory. The line `answers:` now also gives the requests that the process still holds.

--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -441,9 +441,9 @@
     reasons.append(reason).append(" ").append(std::to_string(count));
   }
   const std::uint64_t started = counters_.started();
-  std::fprintf(stderr, "answers: requests %llu, in work %zu; %s\n",
+  std::fprintf(stderr, "answers: requests %llu, in work %zu, kept in memory %zu; %s\n",
                static_cast<unsigned long long>(started - std::exchange(started_by_last_log_, started)),
-               counters_.in_progress(), reasons.c_str());
+               counters_.in_progress(), pending_requests_.size(), reasons.c_str());
   unsuccessful_.clear();
 }
 
