A request is freed when it is complete, whatever completed it

After such requests a process also did not end by itself after SIGTERM.

Cause: Sidecar kept each pending request in a map and erased it by hand (EraseIfComplete) at the end of four of its event handlers, for the id of that event alone. The balancer may end a request in any event: from one of its timers (Sidecar::SetTimer erased nothing), and in the event of another request with the same key. Such a request stayed with its body until the process ended, and the shutdown waits for the map to be empty. Its reservation of memory had been released with the answer, so the limit on bodies did not see it.

Change: PendingRequests owns the requests. A request is complete when its session is taken and its last attempt has ended; only TakeSession and EndAttempt do either, and both free it then. No event handler has to know which requests its event ended. Attempt, PendingRequest and what only they need moved there from sidecar.cpp.

--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -118,10 +118,6 @@
 
 }  // namespace
 
-bool Sidecar::PendingRequest::HasAttemptInFlight() const {
-  return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.in_flight; });
-}
-
 Sidecar::Sidecar(asio::io_context& io, Config config)
     : io_(io),
       config_(std::move(config)),
@@ -270,7 +266,7 @@
 
 std::optional<Rejection> Sidecar::Validate(const RequestHeader& request, int request_class) const {
   if (request_class < 0) return Rejection{http::status::not_found, "unknown Req-Kind\n"};
-  if (pending_requests_.count(std::string(ToStringView(request[kIdHeader]))) > 0)
+  if (pending_requests_.Contains(std::string(ToStringView(request[kIdHeader]))))
     return Rejection{http::status::conflict, "Req-Id is in use\n"};
   return CheckAgainstClass(request,
                            config_.wire.settings.classes[static_cast<std::size_t>(request_class)].repeat);
@@ -299,7 +295,7 @@
   TraceRequest(id, "taken", [&] { return "budget " + Seconds(budget); });
 
   counters_.StartRequest(static_cast<std::size_t>(request_class));
-  PendingRequest& pending = pending_requests_[id];
+  PendingRequest& pending = pending_requests_.Add(id);
   pending.request_class = static_cast<std::size_t>(request_class);
   pending.message = std::move(request);
   pending.body_pending = pending.message.remaining != nullptr;
@@ -322,27 +318,26 @@
   const std::string key(ObjectKey(ToStringView(head.target())));
   in.key = key;
   balancer_->OnRequest(now, in);
-  EraseIfComplete(id);
 }
 
 void Sidecar::OnClientDisconnected(const std::string& id) {
-  const auto it = pending_requests_.find(id);
-  if (it == pending_requests_.end()) return;
-  if (std::exchange(it->second.session, nullptr) != nullptr)
-    counters_.FinishRequest(it->second.request_class, Counters::FinalStatus::kClientDisconnected);
+  const PendingRequest* const pending = pending_requests_.Find(id);
+  if (pending == nullptr) return;
+  const std::size_t request_class = pending->request_class;
+  if (pending_requests_.TakeSession(id) != nullptr)
+    counters_.FinishRequest(request_class, Counters::FinalStatus::kClientDisconnected);
   CountUnsuccessful("left by the client");
   TraceRequest(id, "left by the client");
   balancer_->OnClientDisconnected(Now(), id);
-  EraseIfComplete(id);
 }
 
 void Sidecar::OnUpstreamAnswer(const std::string& id, int attempt, UpstreamAnswer answer) {
-  const auto it = pending_requests_.find(id);
-  const bool unanswered = it != pending_requests_.end() && it->second.session != nullptr;
+  const PendingRequest* const pending = pending_requests_.Find(id);
+  const bool unanswered = pending != nullptr && pending->session != nullptr;
   const Result result = answer.result;
   const LoadReport load = answer.load;
   if (result == Result::kSuccess && unanswered) {
-    ForwardAnswer(it->second, std::move(answer));
+    ForwardAnswer(id, std::move(answer));
   } else if (answer.message.remaining != nullptr) {
     answer.message.remaining->Stop();
   }
@@ -350,26 +345,25 @@
 }
 
 void Sidecar::OnRequestWritten(const std::string& id, int number) {
-  const auto it = pending_requests_.find(id);
-  if (it == pending_requests_.end() || !std::exchange(it->second.body_pending, false)) return;
-  PendingRequest& pending = it->second;
-  Attempt& attempt = pending.attempts[static_cast<std::size_t>(number)];
+  PendingRequest* const pending = pending_requests_.Find(id);
+  if (pending == nullptr || !std::exchange(pending->body_pending, false)) return;
+  RequestAttempt& attempt = pending->attempts[static_cast<std::size_t>(number)];
   const Micros now = Now();
-  const Micros budget = ComputeBudget(pending.message.head, pending.request_class);
-  pending.deadline = now + budget;
+  const Micros budget = ComputeBudget(pending->message.head, pending->request_class);
+  pending->deadline = now + budget;
   attempt.sent_at = now;
   attempt.expires_at =
-      attempt.timeout > 0 ? std::min(pending.deadline, now + attempt.timeout) : pending.deadline;
-  ArmRequestTimer(id, pending);
+      attempt.timeout > 0 ? std::min(pending->deadline, now + attempt.timeout) : pending->deadline;
+  ArmRequestTimer(id, *pending);
   balancer_->OnRequestBodyComplete(now, id, budget);
 }
 
 void Sidecar::FinishAttempt(const std::string& id, int attempt, Result result, const LoadReport& load) {
-  const auto it = pending_requests_.find(id);
-  if (it == pending_requests_.end()) return;
-  Attempt& ended = it->second.attempts[static_cast<std::size_t>(attempt)];
-  if (!std::exchange(ended.in_flight, false)) return;
-  ended.result = result;
+  const PendingRequest* const pending = pending_requests_.Find(id);
+  if (pending == nullptr) return;
+  const auto index = static_cast<std::size_t>(attempt);
+  const RequestAttempt& ended = pending->attempts[index];
+  if (!ended.in_flight()) return;
   TraceRequest(id, "attempt ended", [&] { return std::to_string(attempt) + " " + ResultName(result); });
   const Micros now = Now();
   Outcome outcome;
@@ -377,11 +371,11 @@
   outcome.attempt = attempt;
   outcome.result = result;
   outcome.elapsed = std::max<Micros>(now - ended.sent_at, 0);
-  outcome.final_answer_sent = it->second.session == nullptr;
-  outcome.body_consumed = it->second.body_consumed;
+  outcome.final_answer_sent = pending->session == nullptr;
+  outcome.body_consumed = pending->body_consumed;
   outcome.load = load;
+  pending_requests_.EndAttempt(id, index, result);
   balancer_->OnOutcome(now, outcome);
-  EraseIfComplete(id);
 }
 
 void Sidecar::OnRefusedForMemory(const RequestHeader& header) {
@@ -392,14 +386,15 @@
   counters_.FinishRequest(static_cast<std::size_t>(request_class), Counters::FinalStatus::kRefused);
 }
 
-void Sidecar::Respond(PendingRequest& pending, Counters::FinalStatus final_status, HttpResponse response) {
-  counters_.FinishRequest(pending.request_class, final_status);
-  Inbound::Respond(std::exchange(pending.session, nullptr), Inbound::MakeReply(std::move(response)));
+void Sidecar::Respond(const std::string& id, Counters::FinalStatus final_status, HttpResponse response) {
+  counters_.FinishRequest(pending_requests_.Find(id)->request_class, final_status);
+  Inbound::Respond(pending_requests_.TakeSession(id), Inbound::MakeReply(std::move(response)));
 }
 
 // An answer with a streamed body is counted when its last chunk has been written.
-void Sidecar::ForwardAnswer(PendingRequest& pending, UpstreamAnswer answer) {
-  TraceRequest(ToStringView(pending.message.head[kIdHeader]), "answered");
+void Sidecar::ForwardAnswer(const std::string& id, UpstreamAnswer answer) {
+  TraceRequest(id, "answered");
+  const std::size_t request_class = pending_requests_.Find(id)->request_class;
   Inbound::Reply reply;
   reply.message.head.result(http::status::ok);
   if (const auto type = answer.message.head[http::field::content_type]; !type.empty())
@@ -409,9 +404,9 @@
   reply.message.length = answer.message.length;
   reply.reservation = std::move(answer.reservation);
   if (reply.message.remaining == nullptr) {
-    counters_.FinishRequest(pending.request_class, Counters::FinalStatus::kServed);
+    counters_.FinishRequest(request_class, Counters::FinalStatus::kServed);
   } else {
-    reply.done = [this, request_class = pending.request_class](Inbound::Delivery sent) {
+    reply.done = [this, request_class](Inbound::Delivery sent) {
       if (sent == Inbound::Delivery::kTruncated) CountUnsuccessful("failed in the middle of an answer");
       counters_.FinishRequest(request_class, sent == Inbound::Delivery::kComplete
                                                  ? Counters::FinalStatus::kServed
@@ -420,7 +415,7 @@
                                                  : Counters::FinalStatus::kClientDisconnected);
     };
   }
-  Inbound::Respond(std::exchange(pending.session, nullptr), std::move(reply));
+  Inbound::Respond(pending_requests_.TakeSession(id), std::move(reply));
 }
 
 void Sidecar::CountUnsuccessful(const char* reason) {
@@ -448,55 +443,42 @@
 }
 
 void Sidecar::ArmRequestTimer(const std::string& id, PendingRequest& pending) {
-  Micros due = pending.deadline;
-  for (const Attempt& attempt : pending.attempts)
-    if (attempt.in_flight) due = std::min(due, attempt.expires_at);
-  pending.timer->expires_after(std::chrono::microseconds(std::max<Micros>(due - Now(), 0)));
+  const Micros wait = std::max<Micros>(pending.NextExpiry() - Now(), 0);
+  pending.timer->expires_after(std::chrono::microseconds(wait));
   pending.timer->async_wait([this, id](ErrorCode error) {
     if (!error) OnRequestTimer(id);
   });
 }
 
 void Sidecar::OnRequestTimer(const std::string& id) {
-  auto it = pending_requests_.find(id);
-  if (it == pending_requests_.end()) return;
   const Micros now = Now();
-  for (std::size_t i = 0; i < it->second.attempts.size(); ++i) {
-    const Attempt& attempt = it->second.attempts[i];
-    if (!attempt.in_flight || now < attempt.expires_at) continue;
+  FinishExpiredAttempts(id, now);
+  PendingRequest* const pending = pending_requests_.Find(id);
+  if (pending == nullptr) return;
+  if (now < pending->deadline) return ArmRequestTimer(id, *pending);
+  if (pending->session == nullptr) return;
+  // The Balancer normally ends a request before its deadline. If it did not, the client still gets an answer
+  // here.
+  CountUnsuccessful("out of time");
+  TraceRequest(id, "failed", [] { return std::string("out of time"); });
+  Respond(id, Counters::FinalStatus::kFailed,
+          PlainTextResponse(http::status::gateway_timeout, "out of time\n"));
+  balancer_->OnClientDisconnected(now, id);
+}
+
+void Sidecar::FinishExpiredAttempts(const std::string& id, Micros now) {
+  for (std::size_t i = 0;; ++i) {
+    const PendingRequest* const pending = pending_requests_.Find(id);
+    if (pending == nullptr || i >= pending->attempts.size()) return;
+    const RequestAttempt& attempt = pending->attempts[i];
+    if (!attempt.in_flight() || now < attempt.expires_at) continue;
     upstream_.Cancel(attempt.upstream_id);
     FinishAttempt(id, static_cast<int>(i), Result::kTimeout);
-    it = pending_requests_.find(id);
-    if (it == pending_requests_.end()) return;
   }
-  if (now >= it->second.deadline && it->second.session != nullptr) {
-    // The Balancer normally ends a request before its deadline. If it did not, the client still gets an
-    // answer here.
-    CountUnsuccessful("out of time");
-    TraceRequest(id, "failed", [] { return std::string("out of time"); });
-    Respond(it->second, Counters::FinalStatus::kFailed,
-            PlainTextResponse(http::status::gateway_timeout, "out of time\n"));
-    balancer_->OnClientDisconnected(now, id);
-    return EraseIfComplete(id);
-  }
-  if (now < it->second.deadline) ArmRequestTimer(id, it->second);
-}
-
-void Sidecar::EraseIfComplete(const std::string& id) {
-  const auto it = pending_requests_.find(id);
-  if (it == pending_requests_.end() || it->second.session != nullptr || it->second.HasAttemptInFlight())
-    return;
-  pending_requests_.erase(it);
-}
-
-// The socket is checked too: the client may have disconnected while its request waited (in the accept queue,
-// behind another request, for a retry or for a connection) without the event loop having noticed yet.
-bool Sidecar::ClientIsWaiting(const PendingRequest& pending) {
-  return pending.session != nullptr && !Inbound::ClientDisconnected(pending.session);
 }
 
 const char* Sidecar::NotSentReason(const PendingRequest& pending) {
-  if (!ClientIsWaiting(pending)) return "client disconnected";
+  if (!pending.ClientIsWaiting()) return "client disconnected";
   return pending.body_consumed ? "body consumed" : "out of time";
 }
 
@@ -539,17 +521,17 @@
 
 void Sidecar::Send(std::string_view request, const std::string& server, Micros timeout) {
   const std::string id(request);
-  const auto it = pending_requests_.find(id);
-  if (it == pending_requests_.end()) return;
-  PendingRequest& pending = it->second;
+  PendingRequest* const found = pending_requests_.Find(id);
+  if (found == nullptr) return;
+  PendingRequest& pending = *found;
   const Micros now = Now();
   const int number = static_cast<int>(pending.attempts.size());
-  Attempt attempt;
+  RequestAttempt attempt;
   attempt.sent_at = now;
   attempt.timeout = timeout;
   attempt.expires_at =
       timeout > 0 && !pending.body_pending ? std::min(pending.deadline, now + timeout) : pending.deadline;
-  if (!ClientIsWaiting(pending) || pending.body_consumed || now >= attempt.expires_at) {
+  if (!pending.ClientIsWaiting() || pending.body_consumed || now >= attempt.expires_at) {
     TraceRequest(id, "not sent", [&] { return std::string(NotSentReason(pending)); });
     pending.attempts.push_back(attempt);
     asio::post(io_, [this, id, number] { FinishAttempt(id, number, Result::kNeverSent); });
@@ -560,17 +542,16 @@
     OnUpstreamAnswer(id, number, std::move(answer));
   };
   events.confirm_send = [this, id] {
-    const auto dialed = pending_requests_.find(id);
-    return dialed != pending_requests_.end() && ClientIsWaiting(dialed->second) &&
-           !balancer_->DispatchPaused(Now());
+    const PendingRequest* const dialed = pending_requests_.Find(id);
+    return dialed != nullptr && dialed->ClientIsWaiting() && !balancer_->DispatchPaused(Now());
   };
   if (pending.body_pending) {
     events.body_consumed = [this, id] {
-      const auto consumed = pending_requests_.find(id);
-      if (consumed == pending_requests_.end()) return;
-      consumed->second.body_consumed = true;
-      consumed->second.message.buffered.reset();
-      consumed->second.message.remaining.reset();
+      PendingRequest* const consumed = pending_requests_.Find(id);
+      if (consumed == nullptr) return;
+      consumed->body_consumed = true;
+      consumed->message.buffered.reset();
+      consumed->message.remaining.reset();
     };
     events.request_written = [this, id, number] { OnRequestWritten(id, number); };
   }
@@ -585,32 +566,34 @@
 
 void Sidecar::Cancel(std::string_view request, int attempt) {
   const std::string id(request);
-  const auto it = pending_requests_.find(id);
-  if (it == pending_requests_.end() || attempt < 0 ||
-      static_cast<std::size_t>(attempt) >= it->second.attempts.size())
+  const PendingRequest* const pending = pending_requests_.Find(id);
+  if (pending == nullptr || attempt < 0 || static_cast<std::size_t>(attempt) >= pending->attempts.size())
     return;
-  upstream_.Cancel(it->second.attempts[static_cast<std::size_t>(attempt)].upstream_id);
+  upstream_.Cancel(pending->attempts[static_cast<std::size_t>(attempt)].upstream_id);
   asio::post(io_, [this, id, attempt] { FinishAttempt(id, attempt, Result::kCancelled); });
 }
 
 void Sidecar::Refuse(std::string_view request, Micros retry_after) {
-  const auto it = pending_requests_.find(std::string(request));
-  if (it == pending_requests_.end() || it->second.session == nullptr) return;
-  CountUnsuccessful(it->second.attempts.empty() ? "refused unsent" : "refused after attempts");
+  const std::string id(request);
+  const PendingRequest* const pending = pending_requests_.Find(id);
+  if (pending == nullptr || pending->session == nullptr) return;
+  CountUnsuccessful(pending->attempts.empty() ? "refused unsent" : "refused after attempts");
   TraceRequest(request, "refused");
   HttpResponse response = PlainTextResponse(http::status::service_unavailable, "refused\n");
   if (retry_after > 0) response.set(http::field::retry_after, Seconds(retry_after));
-  Respond(it->second, Counters::FinalStatus::kRefused, std::move(response));
+  Respond(id, Counters::FinalStatus::kRefused, std::move(response));
 }
 
 void Sidecar::Fail(std::string_view request) {
-  const auto it = pending_requests_.find(std::string(request));
-  if (it == pending_requests_.end() || it->second.session == nullptr) return;
-  const auto& attempts = it->second.attempts;
-  CountUnsuccessful(FailureReason(attempts.empty() ? Result::kNeverSent : attempts.back().result));
+  const std::string id(request);
+  const PendingRequest* const pending = pending_requests_.Find(id);
+  if (pending == nullptr || pending->session == nullptr) return;
+  const Result last = pending->attempts.empty()
+                          ? Result::kNeverSent
+                          : pending->attempts.back().result.value_or(Result::kNeverSent);
+  CountUnsuccessful(FailureReason(last));
   TraceRequest(request, "failed");
-  Respond(it->second, Counters::FinalStatus::kFailed,
-          PlainTextResponse(http::status::bad_gateway, "failed\n"));
+  Respond(id, Counters::FinalStatus::kFailed, PlainTextResponse(http::status::bad_gateway, "failed\n"));
 }
 
 void Sidecar::SetTimer(Micros delay, std::uint64_t token) {
@@ -680,11 +663,11 @@
 // than none.
 void Sidecar::ExpirePendingRequests() {
   const Micros now = Now();
-  std::vector<std::string> ids;
-  for (auto& [id, pending] : pending_requests_) {
+  const std::vector<std::string> ids = pending_requests_.ids();
+  for (const std::string& id : ids) {
+    PendingRequest& pending = *pending_requests_.Find(id);
     pending.deadline = now;
-    for (Attempt& attempt : pending.attempts) attempt.expires_at = std::min(attempt.expires_at, now);
-    ids.push_back(id);
+    for (RequestAttempt& attempt : pending.attempts) attempt.expires_at = std::min(attempt.expires_at, now);
   }
   for (const std::string& id : ids) OnRequestTimer(id);
 }
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -12,9 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <unordered_set>
-#include <vector>
 
 #include "budget.hpp"
 #include "config.hpp"
@@ -24,6 +22,7 @@
 #include "inbound.hpp"
 #include "management.hpp"
 #include "merlinrun/balancer.hpp"
+#include "pending_requests.hpp"
 #include "shared_dir.hpp"
 #include "upstream.hpp"
 
@@ -57,33 +56,13 @@
   const Counters& counters() const { return counters_; }
   // Requests that have no answer yet or still have an attempt in flight.
   std::size_t pending_requests() const { return pending_requests_.size(); }
+  // Connections of clients, idle ones included.
+  std::size_t client_connections() const { return inbound_->sessions(); }
+  // Memory reserved for buffered requests and answers, in bytes.
+  std::size_t reserved_memory() const { return budget_.reserved(); }
   std::size_t upstream_connections() const { return upstream_.open_connections(); }
 
  private:
-  struct Attempt {
-    Upstream::AttemptId upstream_id = 0;
-    Micros sent_at = 0;
-    Micros expires_at = 0;
-    // While the request's body is still being received, the timeout starts when its last byte is written.
-    Micros timeout = 0;
-    bool in_flight = true;
-    Result result = Result::kNeverSent;  // valid once the attempt is no longer in flight
-  };
-  // A request, from its arrival until it has been answered and its last attempt has ended.
-  struct PendingRequest {
-    Message<true> message;
-    bool body_pending = false;    // the body is still being received
-    bool body_consumed = false;   // part of the body was forwarded without being buffered: not replayable
-    Inbound::SessionPtr session;  // null once the request is answered or its client has disconnected
-    std::size_t request_class = 0;
-    Micros deadline = 0;  // the final answer must be sent before this time
-    std::vector<Attempt> attempts;
-    std::unique_ptr<asio::steady_timer> timer;
-
-    bool HasAttemptInFlight() const;
-  };
-  using PendingRequests = std::unordered_map<std::string, PendingRequest>;
-
   // Actions requested by the Balancer (ActionSink).
   void Send(std::string_view request, const std::string& server, Micros timeout) override;
   void Cancel(std::string_view request, int attempt) override;
@@ -113,19 +92,18 @@
   void SetAdminDown(const std::string& server, bool down);
   // A valid request was refused because there was no memory left to read it.
   void OnRefusedForMemory(const RequestHeader& header);
-  // Answers with a response of the sidecar's own.
-  void Respond(PendingRequest& pending, Counters::FinalStatus final_status, HttpResponse response);
-  // Forwards a server's successful answer to the client.
-  void ForwardAnswer(PendingRequest& pending, UpstreamAnswer answer);
+  // Answers an unanswered request with a response of the sidecar's own. The request may be freed.
+  void Respond(const std::string& id, Counters::FinalStatus final_status, HttpResponse response);
+  // Forwards a server's successful answer to the client of an unanswered request. The request may be freed.
+  void ForwardAnswer(const std::string& id, UpstreamAnswer answer);
   // Counts a request without a successful answer, for the log. `reason` must be a string constant.
   void CountUnsuccessful(const char* reason);
   void LogUnsuccessful();
   // Sets the request's timer to its next deadline: the end of an attempt, or of the request itself.
   void ArmRequestTimer(const std::string& id, PendingRequest& pending);
   void OnRequestTimer(const std::string& id);
-  void EraseIfComplete(const std::string& id);
-  // Whether the client is still waiting for the answer; if not, no attempt is started.
-  static bool ClientIsWaiting(const PendingRequest& pending);
+  // Ends the attempts of a request that have expired. The request may be freed.
+  void FinishExpiredAttempts(const std::string& id, Micros now);
   static const char* NotSentReason(const PendingRequest& pending);
   static Message<true> BuildForwardedRequest(const PendingRequest& pending, Micros left);
   std::optional<Rejection> Validate(const RequestHeader& request, int request_class) const;
@@ -149,7 +127,7 @@
   Discovery discovery_;
   std::unique_ptr<Inbound> inbound_;
   std::unique_ptr<ManagementEndpoint> management_;
-  PendingRequests pending_requests_;             // by request id
+  PendingRequests pending_requests_;
   std::unordered_set<std::string> ever_listed_;  // servers
   std::set<std::string> admin_down_;             // servers
   asio::steady_timer shared_dir_timer_;
