The body of a request is freed when its answer begins or its client leaves

What callers saw: on a deployment that does not allow attempts to be cancelled, clients that give up while servers are silent or slow make the sidecar grow until it is killed for memory.

Cause: a pending request kept its buffered body for as long as an attempt was in flight, although no further attempt starts once the request is answered or its client has left. The reservation of memory ends with the connection of the client, so the limit on bodies did not see these.

Why the fix works: PendingRequests::TakeSession is the one place at which a request stops waiting for its answer; the body goes there. A connection that still writes it holds a reference of its own until it is written.

--- a/src/net/pending_requests.cpp
+++ b/src/net/pending_requests.cpp
@@ -31,7 +31,10 @@
 Inbound::SessionPtr PendingRequests::TakeSession(const std::string& id) {
   const auto it = requests_.find(id);
   if (it == requests_.end()) return nullptr;
-  Inbound::SessionPtr session = std::exchange(it->second.session, nullptr);
+  PendingRequest& request = it->second;
+  Inbound::SessionPtr session = std::exchange(request.session, nullptr);
+  request.message.buffered.reset();
+  request.message.remaining.reset();
   FreeIfComplete(it);
   return session;
 }
--- a/src/net/pending_requests.hpp
+++ b/src/net/pending_requests.hpp
@@ -32,7 +32,7 @@
 // A request, from its arrival until it has been answered, or its client has disconnected, and its last
 // attempt has ended.
 struct PendingRequest {
-  Message<true> message;
+  Message<true> message;        // without its body once the session has been taken
   bool body_pending = false;    // the body is still being received
   bool body_consumed = false;   // part of the body was forwarded without being buffered: not replayable
   Inbound::SessionPtr session;  // null once PendingRequests::TakeSession has been called
@@ -60,8 +60,8 @@
   // Null if no request with this id is pending.
   PendingRequest* Find(const std::string& id);
   // Takes the session away from a pending request, because it is about to be answered or its client has
-  // disconnected. The request is freed if none of its attempts is in flight. Returns null if the session has
-  // been taken before, or the id is unknown.
+  // disconnected. Its body is freed, as no further attempt needs it, and so is the request if none of its
+  // attempts is in flight. Returns null if the session has been taken before, or the id is unknown.
   Inbound::SessionPtr TakeSession(const std::string& id);
   // Ends an attempt in flight of a pending request. The request is freed if that was the last one and its
   // session has been taken.
