--- a/tests/net/request_lifetime_test.cpp
+++ b/tests/net/request_lifetime_test.cpp
@@ -31,6 +31,14 @@
     client->Close();
     return status;
   }
+  // Repeats a request until it is refused, as a change of the list takes a moment to arrive.
+  bool RepeatUntilRefused(const std::string& text) {
+    for (int i = 0; i < 100; ++i) {
+      if (AskAndClose(text) == "503") return true;
+      RunFor(io, 20ms);
+    }
+    return false;
+  }
   // Sends requests with large bodies at the same time, and checks the status of their answers.
   void ExpectStatusOfLargePosts(const std::string& status) {
     std::vector<std::shared_ptr<Peer>> clients;
@@ -72,8 +80,7 @@
   watch_peer->Write("6\r\n{\"gene\r\n");
   RunFor(io, 100ms);
   watch_peer->Close();
-  const auto refused = [&] { return AskAndClose(Get("probe")) == "503"; };
-  for (int i = 0; i < 100 && !refused(); ++i) RunFor(io, 20ms);
+  ASSERT_TRUE(RepeatUntilRefused(Get("probe")));
   const int sent_before = server.requests();
   ExpectStatusOfLargePosts("503");
   EXPECT_EQ(server.requests(), sent_before);
@@ -133,8 +140,7 @@
   const auto next = Client(Get("next"));
   ASSERT_TRUE(RunUntil(io, [&] { return sidecar->pending_requests() == 2; }));
   SendList(List(2, false, {Entry("s-1", server.address, "draining")}));
-  const auto refused = [&] { return AskAndClose(Post("port", "probe", "1.0")) == "503"; };
-  for (int i = 0; i < 100 && !refused(); ++i) RunFor(io, 20ms);
+  ASSERT_TRUE(RepeatUntilRefused(Post("port", "probe", "1.0")));
   server.peers[0]->Write(Reply("200 OK", "ok"));
   EXPECT_EQ(Status(*first), "200");
   EXPECT_EQ(Status(*next), "503");
@@ -217,8 +223,7 @@
   const auto first = LargeClient("a");
   ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
   SendList(List(2, false, {Entry("s-1", server.address, "removed")}));
-  const auto refused = [&] { return AskAndClose(Get("probe")) == "503"; };
-  for (int i = 0; i < 100 && !refused(); ++i) RunFor(io, 20ms);
+  ASSERT_TRUE(RepeatUntilRefused(Get("probe")));
   const auto second = LargeClient("b");
   sidecar->Reload(ParseConfig(ConfigJson(next_discovery.address, {}).dump()));
   EXPECT_EQ(Status(*first), "502");
