--- a/review/stand-ins-2/rig.hpp
+++ b/review/stand-ins-2/rig.hpp
@@ -306,8 +306,9 @@
     const std::lock_guard lock(mutex_);
     return arrivals_;
   }
-  Json Entry(const std::string& lifecycle = "up") const {
-    return {{"instanceId", id_}, {"hostPort", Text(port())}, {"zone", "utrecht"},       {"machineType", "middel"},
+  // `zone` and `type` must be names of the settings.
+  Json Entry(const std::string& lifecycle = "up", const char* zone = "utrecht", const char* type = "middel") const {
+    return {{"instanceId", id_}, {"hostPort", Text(port())}, {"zone", zone},  {"machineType", type},
             {"cell", 1},         {"lifecycle", lifecycle},   {"weight", 1.0}, {"startedAtMs", 0}};
   }
 
@@ -535,6 +536,37 @@
       {"weights", "rough"}};
 }
 
+// The same for the site liga-glowna.
+inline Json LigaSettings(int sidecars, int rank) {
+  Json settings = LichtnetSettings(sidecars, rank);
+  settings["allowed"]["conn_idle_us"] = 30000000;
+  settings["allowed"]["dial_timeout_us"] = 120000;
+  settings["allowed"]["max_attempts"] = 5;
+  settings["allowed"]["max_retry_after_us"] = 1500000;
+  settings["azs"] = {"warszawa", "poznan", "krakow"};
+  settings["my_zone"] = "warszawa";
+  settings["costs"] = {{"cross_zone", 0.03}, {"late_fail", 0.044}, {"membership_mode", 0.005}, {"waste", 0.04}};
+  settings["goal"] = {{"whole", 0.65}, {"worst_class", 0.2}, {"worst_window", 0.15}};
+  const auto grade = [](const char* name, const char* repeat, const char* group, int aim_ms, int deadline_ms,
+                        int window_ms, double importance, double late_value) {
+    return Json{{"aim_us", aim_ms * 1000},   {"group", group},       {"hard_limit_us", deadline_ms * 1000},
+                {"importance", importance},  {"late_value", late_value}, {"name", name},
+                {"repeat", repeat},          {"stream", false},      {"window_us", window_ms * 1000}};
+  };
+  settings["grades"] = {grade("sklad-odczyt", "idempotent", "all", 500, 1000, 5000, 5, 0.25),
+                        grade("transfer", "deduplicated", "cell", 250, 750, 4000, 5, 0.3),
+                        grade("zakup-kredyty", "deduplicated", "zone", 600, 1500, 3000, 15, 0.5)};
+  settings["host_types"] = {"duzy", "maly"};
+  settings["over_share_worth"] = 1.0;
+  settings["rules"]["drain_grace_us"] = 300000;
+  settings["rules"]["overload_factor"] = 4.0;
+  settings["rules"]["warm_after_us"] = 7300000;
+  settings["stages"] = {"serwery-gry"};
+  settings["telemetry"]["fields"] = {"pending", "busy_reqs"};
+  settings["tenants"] = Json::array();
+  return settings;
+}
+
 // One sidecar, started by the deploy file's `run` from the root of the repository.
 class Sidecar {
  public:
@@ -629,26 +661,34 @@
 }
 inline int SidecarOf(const std::string& id) { return id.size() > 1 && id[0] == 'c' ? std::atoi(id.c_str() + 1) : -1; }
 
-inline std::string StatusRequest(const std::string& id, const std::string& deadline) {
-  return "GET /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: " + id +
-         "\r\nReq-Kind: status\r\nReq-Owner: gem-a\r\nReq-Deadline: " + deadline + "\r\nReq-Cost: 100000\r\n\r\n";
+// The headers of a request of a class that is safe to repeat, and how long its client waits.
+struct Kind {
+  std::string headers = "Req-Kind: status\r\nReq-Owner: gem-a\r\nReq-Cost: 100000\r\n";
+  double deadline = 2.6;
+};
+
+inline std::string SafeRequest(const std::string& id, const Kind& kind) {
+  char deadline[20];
+  std::snprintf(deadline, sizeof deadline, "%.3f", kind.deadline);
+  return "GET /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: " + id + "\r\n" + kind.headers + "Req-Deadline: " + deadline +
+         "\r\n\r\n";
 }
 
-// A client that sends `status` requests to one sidecar, one after the other, over a connection that it keeps.
+// A client that sends requests to one sidecar, one after the other, over a connection that it keeps.
 class SteadyClient {
  public:
-  SteadyClient(int sidecar, int port, double pause) {
-    thread_ = std::thread([this, sidecar, port, pause] {
+  SteadyClient(int sidecar, int port, double pause, const Kind& kind = {}) {
+    thread_ = std::thread([this, sidecar, port, pause, kind] {
       Connection connection;
       while (!stopped_) {
         const std::string id = FreshId(sidecar);
         Message answer;
-        if ((connection.Stale() && !connection.Dial(port)) || !connection.Write(StatusRequest(id, "2.6"))) {
+        if ((connection.Stale() && !connection.Dial(port)) || !connection.Write(SafeRequest(id, kind))) {
           connection.Close();
           Sleep(0.1);
           continue;
         }
-        const auto got = ReadMessage(connection, Now() + 3.2, answer);
+        const auto got = ReadMessage(connection, Now() + kind.deadline + 0.6, answer);
         if (got != Connection::Got::kData || answer.header("connection") == "close") connection.Close();
         Record::Line("client: %s answered %d", id.c_str(), got == Connection::Got::kData ? answer.status() : 0);
         if (answer.status() == 200) ++served_;
