--- a/review/stand-ins-2/rig.hpp
+++ b/review/stand-ins-2/rig.hpp
@@ -466,6 +466,7 @@
     bool ok = connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     bool first = true;
     while (ok && epoch == epoch_) {
+      if (connection.Stale()) break;  // the caller is gone: nothing is told
       std::string text = "\n";
       if (generation_ > after) {
         text = Changes(after).dump() + "\n";
