--- a/review/stand-ins-2/rig.hpp
+++ b/review/stand-ins-2/rig.hpp
@@ -364,10 +364,12 @@
 // One list for all sidecars, served at one address for each, so that what is written is known by sidecar.
 class Discovery {
  public:
-  // What happens to a call before it is answered: the delay, then the answer or 503.
+  // What happens to a call before it is answered: the delay, then the answer or 503. With `gap` the first object of
+  // a watch comes in two pieces, so long after each other.
   struct Handling {
     double delay = 0;
     bool fails = false;
+    double gap = 0;
   };
   Discovery(int sidecars) : written_(static_cast<std::size_t>(sidecars)), watches_(static_cast<std::size_t>(sidecars), 0) {
     for (int i = 0; i < sidecars; ++i)
@@ -456,10 +458,10 @@
           return;
         continue;
       }
-      return Watch(connection, sidecar, std::atoll(request.first_line.c_str() + index + 6), lock);
+      return Watch(connection, sidecar, std::atoll(request.first_line.c_str() + index + 6), handling.gap, lock);
     }
   }
-  void Watch(Connection& connection, int sidecar, std::int64_t after, std::unique_lock<std::mutex>& lock) {
+  void Watch(Connection& connection, int sidecar, std::int64_t after, double gap, std::unique_lock<std::mutex>& lock) {
     const int epoch = epoch_;
     int& watches = watches_.at(static_cast<std::size_t>(sidecar));
     ++watches;
@@ -473,7 +475,17 @@
         after = generation_;
         MarkWritten(sidecar, after);
         Record::Line("discovery: changes up to generation %lld to sidecar %d", static_cast<long long>(after), sidecar);
+        if (gap > 0) {
+          const std::string piece = text.substr(0, text.size() / 2);
+          text.erase(0, piece.size());
+          ok = connection.Write(Chunk(piece));
+          lock.unlock();
+          Sleep(std::exchange(gap, 0));
+          lock.lock();
+          Record::Line("discovery: the rest of them to sidecar %d", sidecar);
+        }
       }
+      if (!ok) break;
       ok = connection.Write(Chunk(text));
       if (std::exchange(first, false)) Record::Line("discovery: watch of sidecar %d is open", sidecar);
       changed_.wait_for(lock, std::chrono::seconds(2), [&] { return generation_ > after || epoch != epoch_; });
