A pause of dispatch lasts until the list is current, not 5 s

Cause: StaleListGuard ended a pause after kMaxPauseForPossibleChanges, although nothing had been learned meanwhile.

Fix: the limit is gone. A pause ends when the time from which missed changes take effect moves on, which the list's age alone decides. With the limit goes the distinction of possible and announced changes: it decided on the limit and on nothing else.

StaleListTest.PausesForFiveSecondsAtMost... asserted the fault: it required sending after 5 s. It and the test of announced changes are replaced by one that requires a pause of any kind to last until the list is current. Two assertions on the announced kind in discovery_test and one test in list_age_test now assert the time that it stood for: a partial object takes effect from its first byte, whatever comes after it.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -235,12 +235,6 @@
   virtual void Log(std::string_view text) = 0;
 };
 
-// What is known about changes of the list that this sidecar has not received.
-enum class MissedChanges {
-  kPossible,   // there may be some
-  kAnnounced,  // discovery began to send some, and they did not arrive completely
-};
-
 // Decides for each request whether it is admitted, which server it is sent to and when it is retried.
 class Balancer {
  public:
@@ -253,12 +247,11 @@
 
   // Applies an update of the list of servers.
   void OnServers(Micros now, const ListUpdate& update);
-  // Sets when changes of the list that this sidecar has missed take effect: from then on it has to obey them,
-  // received or not. Empty = the list is current. Once the grace period of a drain that may have been missed
-  // is over, dispatch is paused: requests wait and are then refused. The pause ends when the list is current
-  // again; where changes are only possible, it ends after a few seconds at the latest.
-  void OnListStaleness(Micros now, std::optional<Micros> effective_from,
-                       MissedChanges missed = MissedChanges::kPossible);
+  // Sets from when on changes of the list that this sidecar has missed take effect: it then has to obey them,
+  // received or not. Empty = never: the list is current, or nothing can have changed. Once the grace period
+  // of a drain that may have been missed is over, dispatch is paused: requests wait and are then refused. The
+  // pause lasts until this time is set anew.
+  void OnListStaleness(Micros now, std::optional<Micros> effective_from);
   // Whether dispatch is paused now: nothing new may be written to any server.
   bool DispatchPaused(Micros now);
   // Takes a server administratively down or up again. A server that is down gets no new requests, whatever
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -56,7 +56,7 @@
   }
 
   void Cancel() {
-    if (owner_ != nullptr) ReportPartialObject(*owner_, MissedChanges::kAnnounced);
+    if (owner_ != nullptr) ReportPartialObject(*owner_);
     owner_ = nullptr;
     tcp_.close();
   }
@@ -151,16 +151,15 @@
   }
 
   // The list is known to be current only up to the first byte of an incomplete object.
-  void ReportPartialObject(Discovery& owner, MissedChanges missed) const {
-    if (objects_.inside_object()) owner.age_.OnPartialObject(object_began_at_, missed);
+  void ReportPartialObject(Discovery& owner) const {
+    if (objects_.inside_object()) owner.age_.OnPartialObject(object_began_at_);
   }
 
   void End(CallResult result, const std::string& reason) {
     if (owner_ == nullptr) return;
     Discovery* const owner = std::exchange(owner_, nullptr);
     tcp_.close();
-    ReportPartialObject(
-        *owner, result == CallResult::kInvalidData ? MissedChanges::kPossible : MissedChanges::kAnnounced);
+    ReportPartialObject(*owner);
     const auto self = shared_from_this();  // OnEnd releases the owner's reference to this call
     owner->OnEnd(*this, result, reason);
   }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -74,8 +74,6 @@
   // From when on missed changes take effect. Empty while a watch delivers data, and while discovery is down
   // and cannot learn of changes.
   std::optional<ListAge::Time> missed_changes_take_effect_at() const;
-  // Whether missed changes are only possible or known to exist.
-  MissedChanges missed_changes() const { return age_.missed_changes(); }
 
  private:
   using Clock = std::chrono::steady_clock;
--- a/src/net/list_age.cpp
+++ b/src/net/list_age.cpp
@@ -44,7 +44,6 @@
   overdue_failures_ = 0;
   unwatched_since_.reset();
   partial_object_ = false;
-  missed_ = MissedChanges::kPossible;
 }
 
 void ListAge::OnCallEnd(CallResult result, Time began, Time now) {
@@ -90,10 +89,9 @@
          (result == CallResult::kSilent || result == CallResult::kAnswerTimeout);
 }
 
-void ListAge::OnPartialObject(Time began, MissedChanges missed) {
+void ListAge::OnPartialObject(Time began) {
   takes_effect_at_ = std::min(takes_effect_at_, began);
   partial_object_ = true;
-  if (missed == MissedChanges::kAnnounced) missed_ = missed;
 }
 
 // A discovery that cannot be reached announces no changes. Its outage postpones their effect: otherwise
--- a/src/net/list_age.hpp
+++ b/src/net/list_age.hpp
@@ -45,11 +45,9 @@
   void OnData() { no_sign_of_life_ = silent_outage_ = false; }
   // A call that was made at `began` has ended now.
   void OnCallEnd(CallResult result, Time began, Time now);
-  // An object whose first byte came at `began` was not received completely. It counts as announced, as
-  // discovery has written it. With kPossible: its data was invalid, so it need not have been a change.
-  void OnPartialObject(Time began, MissedChanges missed = MissedChanges::kAnnounced);
-  // Whether missed changes are only possible or known to exist.
-  MissedChanges missed_changes() const { return missed_; }
+  // An object whose first byte came at `began` was not received completely. It takes effect from then on, as
+  // discovery has written it.
+  void OnPartialObject(Time began);
   // Another discovery is followed from now on. Changes that take effect earlier keep their time.
   void OnSwitch(Time now);
 
@@ -75,7 +73,6 @@
   std::optional<Time> unwatched_since_;
   // An object was received only in part: an outage does not postpone its effect.
   bool partial_object_ = false;
-  MissedChanges missed_ = MissedChanges::kPossible;
   bool silent_outage_ = false;   // lists are pushed, and the last call got no answer or fell silent
   bool no_sign_of_life_ = true;  // from discovery, since the start or since a connection to it broke
   int overdue_failures_ = 0;     // calls that failed after takes_effect_at_
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -247,7 +247,7 @@
   if (!effective_at) return balancer_->OnListStaleness(Now(), std::nullopt);
   const auto left =
       std::chrono::duration_cast<std::chrono::microseconds>(*effective_at - std::chrono::steady_clock::now());
-  balancer_->OnListStaleness(Now(), Now() + left.count(), discovery_.missed_changes());
+  balancer_->OnListStaleness(Now(), Now() + left.count());
 }
 
 void Sidecar::OnDiscoverySignOfLife() {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -102,12 +102,9 @@
                                            : max_spread);
   }
 
-  // Missed changes take effect from `effective_from` on; empty while the list is current.
-  void OnListStaleness(std::optional<Micros> effective_from, MissedChanges missed) {
-    if (effective_from) return stale_list_guard_.SetStale(*effective_from, missed);
-    if (stale_list_guard_.paused_since())
-      LogDispatchPause("current again", *stale_list_guard_.paused_since());
-    stale_list_guard_.SetCurrent();
+  void OnListStaleness(std::optional<Micros> effective_from) {
+    const auto ended_pause = stale_list_guard_.SetEffectiveFrom(now_, effective_from);
+    if (ended_pause) LogDispatchPause("usable again", *ended_pause);
   }
 
   // Whether nothing may be sent because a server may have drained without this sidecar knowing it.
@@ -1061,8 +1058,8 @@
 Balancer::~Balancer() = default;
 
 void Balancer::OnServers(Micros now, const ListUpdate& update) { state_->AdvanceTo(now).OnServers(update); }
-void Balancer::OnListStaleness(Micros now, std::optional<Micros> effective_from, MissedChanges missed) {
-  state_->AdvanceTo(now).OnListStaleness(effective_from, missed);
+void Balancer::OnListStaleness(Micros now, std::optional<Micros> effective_from) {
+  state_->AdvanceTo(now).OnListStaleness(effective_from);
 }
 bool Balancer::DispatchPaused(Micros now) { return state_->AdvanceTo(now).DispatchPaused(); }
 void Balancer::SetAdminDown(Micros now, std::string_view server, bool down) {
--- a/tests/faults/drain_test.cpp
+++ b/tests/faults/drain_test.cpp
@@ -68,6 +68,14 @@
     return static_cast<int>(
         std::count_if(arrivals.begin(), arrivals.end(), [&](Clock::time_point at) { return at > time; }));
   }
+  // Whether requests are served by the server that stays, once the drain has been written to the sidecar and
+  // its grace is over.
+  bool ServiceIsResumed() {
+    if (!RunUntil(io, [&] { return discovery.changes().back().written_at.has_value(); })) return false;
+    RunFor(io, kGrace + kSlack);
+    const int before = staying.requests();
+    return RunUntil(io, [&] { return staying.requests() > before + 5; });
+  }
   // Makes the sidecar ask for its list, at the latest 10 s after its start or after a failed call.
   static void UseSubscribeMode(nlohmann::json& json, int siblings) {
     json["settings"]["membership_mode"] = "subscribe";
@@ -102,11 +110,21 @@
   RunFor(io, 8500ms);
   EXPECT_EQ(RequestsToDrainingServerAfter(made_at + kMissedChangeDelay + kGrace + kSlack), 0) << log.Read();
   discovery.SetMode(FaultyDiscovery::Mode::kHealthy);
-  const auto change_written = [&] { return discovery.changes().back().written_at.has_value(); };
-  ASSERT_TRUE(RunUntil(io, change_written)) << log.Read();
-  RunFor(io, kGrace + kSlack);
-  const std::size_t before = static_cast<std::size_t>(staying.requests());
-  EXPECT_TRUE(RunUntil(io, [&] { return static_cast<std::size_t>(staying.requests()) > before + 5; }));
+  EXPECT_TRUE(ServiceIsResumed()) << log.Read();
+}
+
+// Guards against requests to a drained server while discovery stays overloaded: dispatch was paused for 5 s
+// and then resumed with the list from before the drain.
+TEST_P(DrainTest, APauseLastsAsLongAsDiscoveryIsOverloaded) {
+  ASSERT_NO_FATAL_FAILURE(Start([](nlohmann::json& json) { UseSubscribeMode(json, 41); }));
+  ASSERT_TRUE(RunUntil(io, [&] { return arrivals.size() >= 20; }));
+  discovery.SetMode(FaultyDiscovery::Mode::kOverloaded);
+  discovery.Publish(Entry("s-drains", draining.address, "draining"), FaultyDiscovery::Delivery::kEndWatch);
+  const Clock::time_point made_at = Clock::now();
+  RunFor(io, 14s);
+  EXPECT_EQ(RequestsToDrainingServerAfter(made_at + kMissedChangeDelay + kGrace + kSlack), 0) << log.Read();
+  discovery.SetMode(FaultyDiscovery::Mode::kHealthy);
+  EXPECT_TRUE(ServiceIsResumed()) << log.Read();
 }
 
 // A discovery that is down cannot have announced any drain, so dispatch continues.
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -149,7 +149,7 @@
   }
 }
 
-// Discovery has written the change, so a partial object counts as announced.
+// Discovery has written the change, so a partial object takes effect without delay.
 TEST_F(DiscoveryTest, APartialObjectTakesEffectFromItsFirstByte) {
   Discovery::Timing timing = LongTimeouts();
   timing.reopens_itself = false;
@@ -169,11 +169,10 @@
   Start({Chunk(Line(42, "s-a")) + half + "0\r\n\r\n", half}, timing);
   ASSERT_TRUE(RunUntil(io, [&] { return failures == 1; }));
   const auto takes_effect_at = discovery->missed_changes_take_effect_at();
-  EXPECT_EQ(discovery->missed_changes(), MissedChanges::kAnnounced);
+  EXPECT_LE(takes_effect_at, ListAge::Clock::now());
   discovery->Watch();
   ASSERT_TRUE(RunUntil(io, [&] { return watches == 2; }));
   RunFor(io, 50ms);
-  EXPECT_EQ(discovery->missed_changes(), MissedChanges::kAnnounced);
   server->peers[1]->Close();
   ASSERT_TRUE(RunUntil(io, [&] { return failures == 2; }));
   EXPECT_EQ(discovery->missed_changes_take_effect_at(), takes_effect_at);
@@ -188,7 +187,7 @@
   RunFor(io, 50ms);
   ScriptedServer silent(io);
   discovery->SwitchTo(silent.address);
-  EXPECT_EQ(discovery->missed_changes(), MissedChanges::kAnnounced);
+  ASSERT_TRUE(discovery->missed_changes_take_effect_at().has_value());
   EXPECT_LE(discovery->missed_changes_take_effect_at(), ListAge::Clock::now());
 }
 
--- a/tests/net/list_age_test.cpp
+++ b/tests/net/list_age_test.cpp
@@ -92,17 +92,16 @@
   }
 }
 
-TEST_F(ListAgeTest, APartialObjectCountsAsAnAnnouncedChangeUntilTheListIsCurrent) {
+TEST_F(ListAgeTest, APartialObjectTakesEffectFromItsFirstByteUntilTheListIsCurrent) {
   ListAge age = RequestedList();
-  EXPECT_EQ(age.missed_changes(), MissedChanges::kPossible);
-  age.OnPartialObject(kStart + seconds(1), MissedChanges::kPossible);  // its data was invalid
-  EXPECT_EQ(age.missed_changes(), MissedChanges::kPossible);
   age.OnPartialObject(kStart + seconds(1));
+  EXPECT_EQ(age.missed_changes_take_effect_at(), kStart + seconds(1));
   age.OnCallEnd(Result::kReset, kStart, kStart + seconds(1));
   age.OnCallEnd(Result::kUnreachable, kStart + seconds(20), kStart + seconds(20));
-  EXPECT_EQ(age.missed_changes(), MissedChanges::kAnnounced);
+  age.OnPartialObject(kStart + seconds(20));
+  EXPECT_EQ(age.missed_changes_take_effect_at(), kStart + seconds(1));
   age.ConfirmCurrent(kStart + seconds(21));
-  EXPECT_EQ(age.missed_changes(), MissedChanges::kPossible);
+  EXPECT_EQ(age.missed_changes_take_effect_at(), kStart + seconds(27));
 }
 
 // A process that starts during an outage has had no connection whose break would show the outage. Until
--- a/tests/stale_list_test.cpp
+++ b/tests/stale_list_test.cpp
@@ -59,27 +59,19 @@
   EXPECT_FALSE(Sends(17 * kSec));
 }
 
-// If discovery stays overloaded, service has to go on with the last list after a limited pause.
-TEST_F(StaleListTest, PausesForFiveSecondsAtMostPerStalePeriodWhenChangesAreOnlyPossible) {
+// Guards against requests to drained servers while discovery stays overloaded: the pause ended after 5 s
+// although the list was still stale.
+TEST_F(StaleListTest, PausesUntilTheListIsCurrentHoweverLongThatTakes) {
   balancer->OnListStaleness(10 * kSec, 12 * kSec);
   EXPECT_FALSE(Sends(13 * kSec));
-  EXPECT_FALSE(Sends(18 * kSec - 1 * kMs));
-  EXPECT_TRUE(Sends(18 * kSec));
-  balancer->OnListStaleness(19 * kSec, 19 * kSec);  // another failed call does not start a new pause
-  EXPECT_TRUE(Sends(20 * kSec));
-  balancer->OnListStaleness(21 * kSec, std::nullopt);
-  balancer->OnListStaleness(22 * kSec, 22 * kSec);
-  EXPECT_FALSE(Sends(23 * kSec));
-}
-
-// If discovery has announced a change that did not arrive complete, a server may already be draining.
-// Ending the pause before the list is current would then send requests to a drained server.
-TEST_F(StaleListTest, PausesUntilTheListIsCurrentWhenAnAnnouncedChangeWasMissed) {
-  balancer->OnListStaleness(10 * kSec, 10 * kSec, MissedChanges::kAnnounced);
-  EXPECT_FALSE(Sends(11 * kSec));
+  EXPECT_FALSE(Sends(18 * kSec));
+  balancer->OnListStaleness(19 * kSec, 12 * kSec);  // another failed call
+  EXPECT_FALSE(Sends(20 * kSec));
   EXPECT_FALSE(Sends(100 * kSec));
   balancer->OnListStaleness(101 * kSec, std::nullopt);
   EXPECT_TRUE(Sends(101 * kSec));
+  balancer->OnListStaleness(102 * kSec, 102 * kSec);
+  EXPECT_FALSE(Sends(103 * kSec));
 }
 
 TEST_F(StaleListTest, APendingRequestIsSentWhenTheListIsCurrentOrRefusedBeforeItsDeadline) {
