The balancer learns each change of the list's age, also by a reload

Fix: Discovery reports every change of the age, and the balancer always has the time from which missed changes take effect; each data that confirms the list moves it on. That a watch counted as current by its first byte, with a second path to the balancer for it, is gone. Related: a switch during the silence of a discovery that pushes took the new address for silent as well.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -64,7 +64,6 @@
   std::uint64_t number() const { return number_; }
   Clock::time_point began() const { return began_; }
   bool full_list() const { return full_list_; }
-  bool has_data() const { return has_data_; }
 
  private:
   // Sets the timeout of the next read. Without it the call would wait forever when the network is cut: the
@@ -132,7 +131,6 @@
   void OnChunk() {
     if (owner_ == nullptr) return;
     const auto now = Clock::now();
-    has_data_ = true;
     owner_->OnData();
     if (!objects_.inside_object()) object_began_at_ = now;
     for (const char c : std::string_view(chunk_.data(), chunk_.size() - parser_.get().body().size)) {
@@ -147,6 +145,7 @@
     // A watch delivers changes without delay, so the list is current now unless an object is incomplete.
     const bool current = chunk_.size() > parser_.get().body().size && !objects_.inside_object();
     if (current && !full_list_) owner_->age_.ConfirmCurrent(now);
+    owner_->ReportAge();
     ReadBody();
   }
 
@@ -177,7 +176,6 @@
   Clock::time_point last_data_at_;                // unset before the answer's header
   Clock::time_point last_data_before_object_at_;  // before the incomplete object
   Clock::time_point object_began_at_;             // when the first byte of the incomplete object came
-  bool has_data_ = false;                         // some of the answer's body has been received
   bool full_list_ = false;                        // requests the full list, not a watch
 };
 
@@ -210,14 +208,10 @@
   if (call_ != nullptr) std::exchange(call_, nullptr)->Cancel();
   backoff_.cancel();
   age_.OnSwitch(Clock::now());
+  ReportAge();
   Open();
 }
 
-std::optional<ListAge::Time> Discovery::missed_changes_take_effect_at() const {
-  const bool watching = call_ != nullptr && call_->has_data() && !call_->full_list();
-  return watching ? std::nullopt : age_.missed_changes_take_effect_at();
-}
-
 void Discovery::Open() {
   call_ = std::make_shared<Call>(*this, ++calls_);
   call_->Open();
@@ -226,7 +220,10 @@
 void Discovery::OnData() {
   last_data_at_ = Clock::now();
   age_.OnData();
-  if (events_.on_data) events_.on_data();
+}
+
+void Discovery::ReportAge() const {
+  if (events_.on_age_changed) events_.on_age_changed();
 }
 
 void Discovery::OnObject(Call& call, const std::string& text) {
@@ -267,6 +264,7 @@
   call_ = nullptr;
   const auto now = Clock::now();
   age_.OnCallEnd(result, call.began(), now);
+  ReportAge();
   const Micros within = age_.RetryWithin(now);
   // Logged once, as every call may return the same invalid data.
   if (result == CallResult::kInvalidData && !std::exchange(invalid_data_logged_, true))
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -51,8 +51,8 @@
     std::function<void(Micros within)> on_failed;
     // Optional: called right before `on_list` with the JSON object that the list was read from, as received.
     std::function<void(const nlohmann::json&)> on_object{};
-    // Optional: part of an answer has been received, be it only a blank line.
-    std::function<void()> on_data{};
+    // Optional: missed_changes_take_effect_at() may have changed.
+    std::function<void()> on_age_changed{};
   };
 
   Discovery(asio::io_context& io, Tcp::endpoint address, const drill::WireSettings& names, Timing timing,
@@ -71,9 +71,10 @@
   // so the full list is requested first. Does nothing if the address is the same.
   void SwitchTo(const Tcp::endpoint& address);
 
-  // From when on missed changes take effect. Empty while a watch delivers data, and while discovery is down
-  // and cannot learn of changes.
-  std::optional<ListAge::Time> missed_changes_take_effect_at() const;
+  // From when on missed changes take effect if nothing more is received; see ListAge.
+  std::optional<ListAge::Time> missed_changes_take_effect_at() const {
+    return age_.missed_changes_take_effect_at();
+  }
 
  private:
   using Clock = std::chrono::steady_clock;
@@ -83,6 +84,7 @@
   void Open();
   void Reject(Call& call, const std::string& reason);
   void OnData();
+  void ReportAge() const;
   void OnObject(Call& call, const std::string& text);
   void OnEnd(const Call& call, CallResult result, const std::string& reason);
   bool IsApplicable(const EndpointList& list) const;
--- a/src/net/list_age.cpp
+++ b/src/net/list_age.cpp
@@ -109,7 +109,10 @@
 }
 
 void ListAge::OnSwitch(Time now) {
-  takes_effect_at_ = std::min(takes_effect_at_, now + microseconds(timing_.switch_delay));
+  const Time takes_effect_at = now + microseconds(timing_.switch_delay);
+  // A silent discovery has learned of no change, and what the new one has takes effect after the delay.
+  takes_effect_at_ = silent_outage_ ? takes_effect_at : std::min(takes_effect_at_, takes_effect_at);
+  silent_outage_ = false;
   overdue_failures_ = 0;
   no_sign_of_life_ = false;
 }
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -131,7 +131,7 @@
                     OnList(list.full ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
                   },
                   [this](Micros within) { OnDiscoveryFailed(within); },
-                  /*on_object=*/{}, [this] { OnDiscoverySignOfLife(); }}),
+                  /*on_object=*/{}, [this] { ReportListStaleness(); }}),
       shared_dir_timer_(io),
       log_timer_(io) {
   if (config_.accept_fd) shared_dir_.AcquirePresenceLock();
@@ -222,9 +222,11 @@
 
 // ---- The clock and the list ----
 
-Micros Sidecar::Now() const {
-  const auto steady = std::chrono::steady_clock::now().time_since_epoch();
-  return clock_offset_ + std::chrono::duration_cast<std::chrono::microseconds>(steady).count();
+Micros Sidecar::Now() const { return ToBalancerTime(std::chrono::steady_clock::now()); }
+
+Micros Sidecar::ToBalancerTime(std::chrono::steady_clock::time_point time) const {
+  const auto since_epoch = time.time_since_epoch();
+  return clock_offset_ + std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count();
 }
 
 void Sidecar::OnList(ListUpdate::Kind kind, const EndpointList& list) {
@@ -238,24 +240,15 @@
     if (management_ != nullptr) ever_listed_.insert(endpoint.info.id);
   }
   balancer_->OnServers(Now(), {kind, list.generation, servers});
-  if (kind != ListUpdate::Kind::kStale) balancer_->OnListStaleness(Now(), std::nullopt);
 }
 
-// A new watch that has not sent anything yet, or a list that is still incomplete, does not end the staleness.
 void Sidecar::ReportListStaleness() {
   const auto effective_at = discovery_.missed_changes_take_effect_at();
-  if (!effective_at) return balancer_->OnListStaleness(Now(), std::nullopt);
-  const auto left =
-      std::chrono::duration_cast<std::chrono::microseconds>(*effective_at - std::chrono::steady_clock::now());
-  balancer_->OnListStaleness(Now(), Now() + left.count());
-}
-
-void Sidecar::OnDiscoverySignOfLife() {
-  if (!discovery_.missed_changes_take_effect_at()) balancer_->OnListStaleness(Now(), std::nullopt);
+  const auto effective_from = effective_at ? std::optional(ToBalancerTime(*effective_at)) : std::nullopt;
+  balancer_->OnListStaleness(Now(), effective_from);
 }
 
 void Sidecar::OnDiscoveryFailed(Micros within) {
-  ReportListStaleness();
   if (!config_.wire.settings.must_subscribe) return;
   ListUpdate update{ListUpdate::Kind::kFailed, 0, {}};
   update.ask_within = within;
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -4,6 +4,7 @@
 #define MERLINRUN_NET_SIDECAR_HPP_
 
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -73,10 +74,11 @@
   void Log(std::string_view text) override;
 
   Micros Now() const;
+  // The time of the steady clock as the Balancer counts it.
+  Micros ToBalancerTime(std::chrono::steady_clock::time_point time) const;
   void OnList(ListUpdate::Kind kind, const EndpointList& list);
   void OnDiscoveryFailed(Micros within);
-  void OnDiscoverySignOfLife();
-  // Reports to the Balancer when missed changes of the list, if any, take effect.
+  // Reports to the Balancer from when on missed changes of the list take effect.
   void ReportListStaleness();
   void OnRequest(const Inbound::SessionPtr& session, Message<true> request);
   // The last byte of a request with a streamed body has been written: its deadline and timeout start now.
--- a/tests/faults/drain_test.cpp
+++ b/tests/faults/drain_test.cpp
@@ -17,7 +17,8 @@
 using std::chrono::milliseconds;
 
 constexpr auto kMissedChangeDelay = std::chrono::seconds(6);
-constexpr auto kGrace = milliseconds(500);  // drain_grace_us of ConfigJson
+constexpr auto kSwitchDelay = std::chrono::seconds(4);  // from a reload to the effect of a missed change
+constexpr auto kGrace = milliseconds(500);              // drain_grace_us of ConfigJson
 // Allows for a delay of the sidecar between reading its clock and writing, and for delays of this process.
 constexpr auto kSlack = milliseconds(50);
 
@@ -38,6 +39,7 @@
     std::snprintf(seed, sizeof seed, "%016llx", static_cast<unsigned long long>(GetParam()));
     json["seed"] = seed;
     change(json);
+    settings = json;
     config.Write(json.dump());
     process = std::make_unique<Process>(FENNELHOLLOW_PROGRAM,
                                         std::vector<std::string>{"EDGE_CONFIG=" + config.path()}, log.path());
@@ -64,6 +66,12 @@
       SendRequests();
     });
   }
+  // Replaces the configuration with one that names this address of discovery, and signals it.
+  void Reload(std::size_t address) {
+    settings["discovery"] = Text(discovery.address(address));
+    config.Write(settings.dump());
+    process->Signal(SIGHUP);
+  }
   int RequestsToDrainingServerAfter(Clock::time_point time) const {
     return static_cast<int>(
         std::count_if(arrivals.begin(), arrivals.end(), [&](Clock::time_point at) { return at > time; }));
@@ -96,6 +104,7 @@
   std::shared_ptr<Peer> client;
   int ticks_waited = 0;
   int request_count = 0;
+  nlohmann::json settings;
   TemporaryFile config;
   TemporaryFile log;
   std::unique_ptr<Process> process;
@@ -148,6 +157,23 @@
   EXPECT_EQ(RequestsToDrainingServerAfter(written_at + kGrace + kSlack), 0) << log.Read();
 }
 
+// Guards against requests to a drained server while reloads follow each other: each of them cancelled the
+// call that would have delivered the drain, and a cancelled call did not count as a failed one.
+TEST_P(DrainTest, ReloadsInQuickSuccessionDoNotPostponeTheEffectOfADrain) {
+  ASSERT_NO_FATAL_FAILURE(Start([](nlohmann::json& json) { UseSubscribeMode(json, 41); }));
+  ASSERT_TRUE(RunUntil(io, [&] { return arrivals.size() >= 20; }));
+  discovery.SetMode(FaultyDiscovery::Mode::kSilent);
+  discovery.Publish(Entry("s-drains", draining.address, "draining"), FaultyDiscovery::Delivery::kComplete);
+  const Clock::time_point first_reload = Clock::now();
+  for (std::size_t reload = 1; reload <= 6; ++reload) {
+    Reload(reload % 2);
+    RunFor(io, 1s);
+  }
+  EXPECT_EQ(RequestsToDrainingServerAfter(first_reload + kSwitchDelay + kGrace + kSlack), 0) << log.Read();
+  discovery.SetMode(FaultyDiscovery::Mode::kHealthy);
+  EXPECT_TRUE(ServiceIsResumed()) << log.Read();
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, DrainTest, ::testing::Values(1, 2, 3));
 
 }  // namespace
--- a/tests/net/list_age_test.cpp
+++ b/tests/net/list_age_test.cpp
@@ -171,6 +171,16 @@
   EXPECT_EQ(age.missed_changes_take_effect_at(), kStart + seconds(5));
 }
 
+// Guards against requests to drained servers after a reload during an outage: the new address counted as
+// silent too, before it was called.
+TEST_F(ListAgeTest, TheSilenceOfADiscoveryDoesNotCountForTheOneAfterASwitch) {
+  ListAge age = PushedList();
+  age.ConfirmCurrent(kStart + seconds(10));
+  age.OnCallEnd(Result::kSilent, kStart, kStart + milliseconds(12700));
+  age.OnSwitch(kStart + seconds(13));
+  EXPECT_EQ(age.missed_changes_take_effect_at(), kStart + seconds(17));
+}
+
 TEST_F(ListAgeTest, RetriesWaitAThirdOfTheTimeLeftAndBackOffOnceItHasPassed) {
   ListAge age = RequestedList();
   EXPECT_EQ(age.RetryWithin(kStart), 2'000'000);
