A new process obeys missed drains before its first call to discovery ends

Where lists are requested, that call comes up to half of ask_within after the start.

Cause: as with reloads, the age of the list was known from the start, and reported only by the end of a call.

Fix: it is reported at the start. Where lists are pushed, nothing changes: a discovery that has not answered the first call counts as silent, and so as down, as it did after that call.

--- a/src/net/list_age.cpp
+++ b/src/net/list_age.cpp
@@ -35,7 +35,8 @@
 
 }  // namespace
 
-ListAge::ListAge(Timing timing, Time now, Micros age) : timing_(timing), takes_effect_at_(now) {
+ListAge::ListAge(Timing timing, Time now, Micros age)
+    : timing_(timing), takes_effect_at_(now), silent_outage_(timing.pushed) {
   if (!timing.pushed) takes_effect_at_ += microseconds(std::max<Micros>(timing.missed_change_delay - age, 0));
 }
 
@@ -44,6 +45,7 @@
   overdue_failures_ = 0;
   unwatched_since_.reset();
   partial_object_ = false;
+  silent_outage_ = false;
 }
 
 void ListAge::OnCallEnd(CallResult result, Time began, Time now) {
--- a/src/net/list_age.hpp
+++ b/src/net/list_age.hpp
@@ -73,7 +73,7 @@
   std::optional<Time> unwatched_since_;
   // An object was received only in part: an outage does not postpone its effect.
   bool partial_object_ = false;
-  bool silent_outage_ = false;   // lists are pushed, and the last call got no answer or fell silent
+  bool silent_outage_;           // lists are pushed, and no call was answered, or the last one fell silent
   bool no_sign_of_life_ = true;  // from discovery, since the start or since a connection to it broke
   int overdue_failures_ = 0;     // calls that failed after takes_effect_at_
 };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -166,6 +166,7 @@
                                                        std::move(handlers));
   }
   OnList(ListUpdate::Kind::kStale, config_.last_known_list);
+  ReportListStaleness();
   discovery_.SetKnownGeneration(
       config_.last_known_list.endpoints.empty() ? Discovery::kUnknown : config_.last_known_list.generation);
   if (config_.wire.settings.takes_over && !balancer_->RestoreLearnedState(Now(), shared_dir_.ReadHandover()))
--- a/tests/faults/drain_test.cpp
+++ b/tests/faults/drain_test.cpp
@@ -26,7 +26,13 @@
  protected:
   DrainTest() : discovery(io, GetParam()) {}
 
+  // Starts the sidecar with the list of both servers, and requests to it, once it has called discovery.
   void Start(const std::function<void(nlohmann::json&)>& change) {
+    StartProcess(change);
+    ASSERT_TRUE(RunUntil(io, [&] { return discovery.calls() > 0; }));
+    SendRequests();
+  }
+  void StartProcess(const std::function<void(nlohmann::json&)>& change) {
     net::Tcp::acceptor free_port(io, Loopback());
     listen = free_port.local_endpoint();
     free_port.close();
@@ -43,8 +49,6 @@
     config.Write(json.dump());
     process = std::make_unique<Process>(FENNELHOLLOW_PROGRAM,
                                         std::vector<std::string>{"EDGE_CONFIG=" + config.path()}, log.path());
-    ASSERT_TRUE(RunUntil(io, [&] { return discovery.calls() > 0; }));
-    SendRequests();
   }
   // Sends one request after another, each on a new connection, until the test ends.
   void SendRequests() {
@@ -174,6 +178,22 @@
   EXPECT_TRUE(ServiceIsResumed()) << log.Read();
 }
 
+// Guards against requests to a drained server by a new process that has not called discovery yet: only the
+// end of a call made its list stale.
+TEST_P(DrainTest, ANewProcessThatHasNotCalledDiscoveryObeysAMissedDrain) {
+  StartProcess([](nlohmann::json& json) {
+    UseSubscribeMode(json, 300);
+    json["settings"]["rules"]["ask_within_us"] = 600'000'000;  // the first call comes within half of this
+  });
+  discovery.Publish(Entry("s-drains", draining.address, "draining"), FaultyDiscovery::Delivery::kComplete);
+  const Clock::time_point made_at = Clock::now();
+  SendRequests();
+  RunFor(io, 8s);
+  EXPECT_GT(arrivals.size(), 20U);
+  EXPECT_EQ(RequestsToDrainingServerAfter(made_at + kMissedChangeDelay + kGrace + kSlack), 0) << log.Read();
+  EXPECT_EQ(discovery.calls(), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, DrainTest, ::testing::Values(1, 2, 3));
 
 }  // namespace
--- a/tests/net/list_age_test.cpp
+++ b/tests/net/list_age_test.cpp
@@ -145,6 +145,16 @@
   EXPECT_EQ(age.missed_changes_take_effect_at(), kStart + seconds(16));
 }
 
+TEST_F(ListAgeTest, ANewProcessWithAPushedListCountsDiscoveryAsSilentUntilItsFirstCallEnds) {
+  ListAge age = PushedList();
+  EXPECT_EQ(age.missed_changes_take_effect_at(), std::nullopt);
+  ListAge answered = age;
+  age.OnCallEnd(Result::kErrorStatus, kStart, kStart + milliseconds(10));
+  EXPECT_EQ(age.missed_changes_take_effect_at(), kStart);
+  answered.ConfirmCurrent(kStart + seconds(1));
+  EXPECT_EQ(answered.missed_changes_take_effect_at(), kStart + seconds(7));
+}
+
 TEST_F(ListAgeTest, SilenceAfterAPartialObjectPostponesNothing) {
   ListAge age = PushedList();
   age.ConfirmCurrent(kStart + seconds(10));
