A change that is still arriving takes effect from its first byte, not at the call's end

What is written counts as told, but for up to 4.5 s requests go to the server that the change drains.

Cause: an incomplete object was recorded when its call ended or was cancelled.

Fix: it is recorded after the piece of data in which it began, and the end of a call only repeats it. A complete object confirms the list as before.

FaultyDiscovery can stop in the middle of a change for it; the soak does not draw that, so its plans are unchanged.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -56,7 +56,6 @@
   }
 
   void Cancel() {
-    if (owner_ != nullptr) ReportPartialObject(*owner_);
     owner_ = nullptr;
     tcp_.close();
   }
@@ -142,13 +141,17 @@
       }
     }
     if (objects_.size() > kMaxObjectSize) return End(CallResult::kInvalidData, "object too large");
-    // A watch delivers changes without delay, so the list is current now unless an object is incomplete.
-    const bool current = chunk_.size() > parser_.get().body().size && !objects_.inside_object();
-    if (current && !full_list_) owner_->age_.ConfirmCurrent(now);
-    owner_->ReportAge();
+    UpdateAge(now, /*received_data=*/chunk_.size() > parser_.get().body().size);
     ReadBody();
   }
 
+  // A watch delivers changes without delay, so the list is current now unless an object is incomplete.
+  void UpdateAge(Clock::time_point now, bool received_data) {
+    ReportPartialObject(*owner_);
+    if (received_data && !full_list_ && !objects_.inside_object()) owner_->age_.ConfirmCurrent(now);
+    owner_->ReportAge();
+  }
+
   // The list is known to be current only up to the first byte of an incomplete object.
   void ReportPartialObject(Discovery& owner) const {
     if (objects_.inside_object()) owner.age_.OnPartialObject(object_began_at_);
--- a/tests/faults/drain_test.cpp
+++ b/tests/faults/drain_test.cpp
@@ -194,6 +194,17 @@
   EXPECT_EQ(discovery.calls(), 0);
 }
 
+// Guards against requests to a drained server while the rest of its drain does not arrive: the first byte of
+// an object made the list current.
+TEST_P(DrainTest, ADrainThatIsStillArrivingIsObeyedAfterItsGrace) {
+  ASSERT_NO_FATAL_FAILURE(Start([](nlohmann::json& json) { UseSubscribeMode(json, 41); }));
+  ASSERT_TRUE(RunUntil(io, [&] { return arrivals.size() >= 20; }));
+  discovery.Publish(Entry("s-drains", draining.address, "draining"), FaultyDiscovery::Delivery::kStopInside);
+  const Clock::time_point written_at = Clock::now();
+  RunFor(io, 2s);
+  EXPECT_EQ(RequestsToDrainingServerAfter(written_at + kGrace + kSlack), 0) << log.Read();
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, DrainTest, ::testing::Values(1, 2, 3));
 
 }  // namespace
--- a/tests/faults/faulty_discovery.cpp
+++ b/tests/faults/faulty_discovery.cpp
@@ -120,7 +120,7 @@
     }
     watching_ = true;
     Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    owner_->SendChanges(*this, /*cut_off=*/false);
+    owner_->SendChanges(*this);
   }
 
   FaultyDiscovery* owner_;
@@ -185,7 +185,7 @@
 void FaultyDiscovery::EndSilence() {
   for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_)) {
     session->AnswerPendingCall();
-    if (session->watching() && !session->silent) SendChanges(*session, /*cut_off=*/false);
+    if (session->watching() && !session->silent) SendChanges(*session);
   }
 }
 
@@ -211,7 +211,7 @@
     if (change.generation > after && !change.written_at) change.written_at = Clock::now();
 }
 
-void FaultyDiscovery::SendChanges(Session& session, bool cut_off) {
+void FaultyDiscovery::SendChanges(Session& session, Delivery delivery) {
   if (session.known_generation >= generation_) {
     MarkWritten(generation_);
     return session.Write(Chunk("\n"));
@@ -228,9 +228,10 @@
   MarkWritten(session.known_generation);
   session.known_generation = generation_;
   const std::string text = Chunk(object.dump() + "\n");
-  if (!cut_off) return session.Write(text);
+  if (delivery == Delivery::kComplete) return session.Write(text);
   session.Write(text.substr(0, text.size() / 2));
-  session.Close();
+  if (delivery == Delivery::kCutOff) return session.Close();
+  SilenceWatch(session);
 }
 
 void FaultyDiscovery::Publish(const nlohmann::json& entry, Delivery delivery) {
@@ -244,17 +245,22 @@
         session->Close();
         break;
       case Delivery::kSilenceWatch:
-        session->silent = true;
-        silences_.push_back({changes_.back().made_at, std::nullopt});
+        SilenceWatch(*session);
         break;
       case Delivery::kComplete:
       case Delivery::kCutOff:
-        SendChanges(*session, delivery == Delivery::kCutOff);
+      case Delivery::kStopInside:
+        SendChanges(*session, delivery);
         break;
     }
   }
 }
 
+void FaultyDiscovery::SilenceWatch(Session& session) {
+  session.silent = true;
+  silences_.push_back({changes_.back().made_at, std::nullopt});
+}
+
 std::optional<Clock::time_point> FaultyDiscovery::SilentSince(Clock::time_point time) const {
   for (const Interval& silence : silences_)
     if (silence.from <= time && (!silence.to || time < *silence.to)) return silence.from;
--- a/tests/faults/faulty_discovery.hpp
+++ b/tests/faults/faulty_discovery.hpp
@@ -39,7 +39,8 @@
     kComplete,      // the change is sent
     kEndWatch,      // the watch is closed instead
     kSilenceWatch,  // the watch stays open, and nothing more is sent on it
-    kCutOff         // half of the change is sent, then the watch is closed
+    kCutOff,        // half of the change is sent, then the watch is closed
+    kStopInside     // half of the change is sent, and nothing more on this watch
   };
 
   struct Change {
@@ -85,7 +86,8 @@
   void Listen(std::size_t index);
   void Accept(std::size_t index);
   // Sends the changes after the generation that the watch has, or the full list instead.
-  void SendChanges(Session& session, bool cut_off);
+  void SendChanges(Session& session, Delivery delivery = Delivery::kComplete);
+  void SilenceWatch(Session& session);
   void EndSilence();
   // Records that the changes after this generation have been written now.
   void MarkWritten(std::int64_t after);
--- a/tests/faults/soak_run.cpp
+++ b/tests/faults/soak_run.cpp
@@ -225,6 +225,8 @@
         return ", the watch falls silent";
       case FaultyDiscovery::Delivery::kCutOff:
         return ", only half of the change is sent";
+      case FaultyDiscovery::Delivery::kStopInside:
+        return ", the watch falls silent after half of the change";
     }
     return "";
   }
