A request whose body is being forwarded is bounded by its client's time

Cause: while a body was forwarded its request had a deadline of 600 s, and the client's time started with the last byte to the server. The client's last byte may be written much earlier: what the server does not take stays in the buffers of the kernel. Only the stall check ended such a request.

Fix: Inbound knows the latest moment at which the client cannot have sent everything: it had read all and waited for more, or more is missing than the client's kernel holds. At the deadline the write is aborted; the balancer gets the outcome that this proves and ends the request at once.

Two more tests guard what has to go on: a client that sends for longer than its deadline, and a body of 30 MB that a server reads for longer than the deadline; they passed before too.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -29,6 +29,9 @@
 // a socket with unread input resets the connection, and the client might lose its answer. Beyond this number
 // the connection is closed all the same.
 constexpr std::size_t kMaxLingeringBytes = std::size_t{256} * 1024;
+// The kernel of a client may hold this much of what the client has sent: twice the maximum that Linux sets by
+// default.
+constexpr std::size_t kMaxClientSendBuffer = std::size_t{8} << 20;
 // Maximum number of connections above the limit that are open at once to be answered with 503.
 constexpr std::size_t kMaxRejectedSessions = 8;
 
@@ -142,6 +145,12 @@
            (fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
   }
 
+  // See Inbound::RequestIncompleteAt.
+  Clock::time_point RequestIncompleteAt() {
+    UpdateIncompleteAt();
+    return incomplete_at_;
+  }
+
   // Reports a disconnected client to the owner from a separate handler of the event loop.
   void ReportDisconnectLater() {
     asio::post(owner_.io_, [self = shared_from_this()] {
@@ -209,7 +218,10 @@
     asio::post(owner_.io_, [self = shared_from_this()] { self->SupplyBody(); });
   }
 
-  void Stop() override { on_chunk_ = nullptr; }
+  void Stop() override {
+    on_chunk_ = nullptr;
+    awaits_client_ = false;
+  }
 
   std::list<SessionPtr>::iterator position;  // in the owner's list
 
@@ -224,6 +236,23 @@
            static_cast<Micros>(owner_.limits_.min_body_rate);
   }
 
+  // Whether the client may have sent all of its request. If it has, what was not read yet is in the buffers
+  // of this process and of the kernels on both sides.
+  bool MayHaveBeenSent() const {
+    if (awaits_client_) return false;
+    if (!body_pending_) return true;
+    const auto length = incoming_->parser.content_length();
+    if (!length) return true;
+    const std::size_t received = incoming_->body_received + buffer_.size();
+    if (*length <= received + kMaxClientSendBuffer) return true;
+    ErrorCode error;
+    return *length <= received + socket_.available(error) + kMaxClientSendBuffer;
+  }
+
+  void UpdateIncompleteAt() {
+    if (!MayHaveBeenSent()) incomplete_at_ = Clock::now();
+  }
+
   void EnterState(State state) {
     state_ = state;
     timeout_start_ = Clock::now();
@@ -277,6 +306,7 @@
     }
     buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(owner_.input_, n)));
     if (state_ == State::kReading) return Parse();
+    if (std::exchange(awaits_client_, false)) incomplete_at_ = Clock::now();
     if (on_chunk_) SupplyBody();
   }
 
@@ -356,7 +386,7 @@
       request.buffered = std::make_shared<const std::string>(std::move(incoming_->buffered_body));
     incoming_->buffered_body = {};
     if (body_pending_) request.remaining = shared_from_this();
-    chunk_passed_at_ = Clock::now();
+    chunk_passed_at_ = incomplete_at_ = Clock::now();
     try {
       owner_.events_.on_request(shared_from_this(), std::move(request));
     } catch (const std::exception&) {
@@ -375,13 +405,21 @@
     if (error) return AbortUpload(RejectionFor(error));
     incoming_->body_received += n;
     const bool over = incoming_->parser.is_done();
-    if (n == 0 && !over) return Read();
+    if (n == 0 && !over) return AwaitClient();
     body_pending_ = !over;
     chunk_passed_at_ = Clock::now();
+    UpdateIncompleteAt();
     std::exchange(on_chunk_, nullptr)({}, n, over);
     if (state_ == State::kInProgress) Read();
   }
 
+  // Waits for more of the body: all that the client has sent is read.
+  void AwaitClient() {
+    ErrorCode error;
+    awaits_client_ = socket_.available(error) == 0;
+    Read();
+  }
+
   // The rest of the body is invalid or late, and its request may have been sent to a server already.
   void AbortUpload(const Rejection& rejection) {
     const auto self = shared_from_this();
@@ -439,10 +477,12 @@
   asio::mutable_buffer chunk_buffer_;  // where a pending read of the body puts the next chunk ...
   ReadHandler on_chunk_;               // ... and its callback; null if no read is pending
   Clock::time_point chunk_passed_at_;  // when the last chunk of the body was handed over
+  Clock::time_point incomplete_at_;    // the request was incomplete then; not known for later times
   std::size_t lingered_bytes_ = 0;     // input discarded while the connection is being closed
   std::size_t max_lingering_bytes_ = kMaxLingeringBytes;
   unsigned version_ = 11;
   bool body_pending_ = false;    // some of the request's body has not arrived
+  bool awaits_client_ = false;   // more of the body is read as soon as the client sends it
   bool streams_answer_ = false;  // the answer's body is streamed
   bool head_only_ = false;       // HEAD request: the answer has no body
   bool fresh_ = true;            // no request has been answered yet
@@ -487,6 +527,10 @@
   return true;
 }
 
+Clock::time_point Inbound::RequestIncompleteAt(const SessionPtr& session) {
+  return session->RequestIncompleteAt();
+}
+
 void Inbound::Accept() {
   if (!acceptor_.is_open()) return;
   acceptor_.async_accept(
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -91,6 +92,10 @@
   // Whether the client of the session's request has closed its connection. If so, on_client_disconnected is
   // called soon after.
   static bool ClientDisconnected(const SessionPtr& session);
+  // The latest time, as far as it is known, at which the client of the session's request cannot have sent its
+  // last byte yet. The client's time runs from then on at the earliest: the rest of the request may have been
+  // in the buffers of the kernel since.
+  static std::chrono::steady_clock::time_point RequestIncompleteAt(const SessionPtr& session);
 
   // From now on each connection is closed after its next answer.
   void Drain();
--- a/src/net/pending_requests.hpp
+++ b/src/net/pending_requests.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,12 +22,15 @@
 struct RequestAttempt {
   Upstream::AttemptId upstream_id = 0;
   Micros sent_at = 0;
-  Micros expires_at = 0;
-  // While the request's body is still being received, the timeout starts when its last byte is written.
+  // While the request's body is still being received, the attempt does not expire: its timeout starts when
+  // the last byte is written. The deadline of the request ends it all the same.
+  Micros expires_at = kNoExpiry;
   Micros timeout = 0;
   std::optional<Result> result = std::nullopt;
 
   bool in_flight() const { return !result; }
+
+  static constexpr Micros kNoExpiry = std::numeric_limits<Micros>::max();
 };
 
 // A request, from its arrival until it has been answered, or its client has disconnected, and its last
@@ -37,7 +41,9 @@
   bool body_consumed = false;   // part of the body was forwarded without being buffered: not replayable
   Inbound::SessionPtr session;  // null once PendingRequests::TakeSession has been called
   std::size_t request_class = 0;
-  Micros deadline = 0;  // the final answer must be sent before this time
+  // The final answer must be sent before this time. While the body is still being received, it moves on with
+  // what the client sends.
+  Micros deadline = 0;
   std::vector<RequestAttempt> attempts;
   std::unique_ptr<asio::steady_timer> timer;
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -37,8 +37,6 @@
 // busy event loop runs late. The margin takes at most kMaxMarginShare of a short budget.
 constexpr Micros kAnswerMargin = 40 * kMs;
 constexpr double kMaxMarginShare = 0.2;
-// The longest time that a streamed body may take in all; the connections enforce its minimum rate.
-constexpr Micros kMaxUpload = 600 * kSecond;
 // How often the shared folder is read. Changes by another process must take effect here within 1 s.
 constexpr auto kSharedDirPollInterval = std::chrono::milliseconds(200);
 constexpr int kPollsPerHandover = 5;  // polls of the shared folder between two writes of the handover file
@@ -294,7 +292,7 @@
   pending.message = std::move(request);
   pending.body_pending = pending.message.remaining != nullptr;
   pending.session = session;
-  pending.deadline = now + (pending.body_pending ? kMaxUpload : budget);
+  pending.deadline = now + budget;
   pending.timer = std::make_unique<asio::steady_timer>(io_);
   ArmRequestTimer(id, pending);
 
@@ -340,16 +338,16 @@
 
 void Sidecar::OnRequestWritten(const std::string& id, int number) {
   PendingRequest* const pending = pending_requests_.Find(id);
-  if (pending == nullptr || !std::exchange(pending->body_pending, false)) return;
+  if (pending == nullptr || !pending->body_pending) return;
   RequestAttempt& attempt = pending->attempts[static_cast<std::size_t>(number)];
   const Micros now = Now();
-  const Micros budget = ComputeBudget(pending->message.head, pending->request_class);
-  pending->deadline = now + budget;
+  UpdateUploadDeadline(*pending);
+  pending->body_pending = false;
   attempt.sent_at = now;
   attempt.expires_at =
       attempt.timeout > 0 ? std::min(pending->deadline, now + attempt.timeout) : pending->deadline;
   ArmRequestTimer(id, *pending);
-  balancer_->OnRequestBodyComplete(now, id, budget);
+  balancer_->OnRequestBodyComplete(now, id, std::max<Micros>(pending->deadline - now, 0));
 }
 
 void Sidecar::FinishAttempt(const std::string& id, int attempt, Result result, const LoadReport& load) {
@@ -446,6 +444,10 @@
 
 void Sidecar::OnRequestTimer(const std::string& id) {
   const Micros now = Now();
+  if (PendingRequest* const upload = pending_requests_.Find(id); upload != nullptr && upload->body_pending) {
+    UpdateUploadDeadline(*upload);
+    if (now >= upload->deadline && upload->HasAttemptInFlight()) return AbortUpload(*upload);
+  }
   FinishExpiredAttempts(id, now);
   PendingRequest* const pending = pending_requests_.Find(id);
   if (pending == nullptr) return;
@@ -460,6 +462,20 @@
   balancer_->OnClientDisconnected(now, id);
 }
 
+void Sidecar::UpdateUploadDeadline(PendingRequest& pending) const {
+  if (pending.session == nullptr) return;
+  pending.deadline = ToBalancerTime(Inbound::RequestIncompleteAt(pending.session)) +
+                     ComputeBudget(pending.message.head, pending.request_class);
+}
+
+// The outcomes of the attempts follow, and the Balancer then ends the request.
+void Sidecar::AbortUpload(const PendingRequest& pending) {
+  std::vector<Upstream::AttemptId> in_flight;
+  for (const RequestAttempt& attempt : pending.attempts)
+    if (attempt.in_flight()) in_flight.push_back(attempt.upstream_id);
+  for (const Upstream::AttemptId attempt : in_flight) upstream_.AbortRequest(attempt);
+}
+
 void Sidecar::FinishExpiredAttempts(const std::string& id, Micros now) {
   for (std::size_t i = 0;; ++i) {
     const PendingRequest* const pending = pending_requests_.Find(id);
@@ -523,9 +539,13 @@
   RequestAttempt attempt;
   attempt.sent_at = now;
   attempt.timeout = timeout;
-  attempt.expires_at =
-      timeout > 0 && !pending.body_pending ? std::min(pending.deadline, now + timeout) : pending.deadline;
-  if (!pending.ClientIsWaiting() || pending.body_consumed || now >= attempt.expires_at) {
+  if (pending.body_pending) {
+    UpdateUploadDeadline(pending);
+  } else {
+    attempt.expires_at = timeout > 0 ? std::min(pending.deadline, now + timeout) : pending.deadline;
+  }
+  const Micros left = std::min(pending.deadline, attempt.expires_at) - now;
+  if (!pending.ClientIsWaiting() || pending.body_consumed || left <= 0) {
     TraceRequest(id, "not sent", [&] { return std::string(NotSentReason(pending)); });
     pending.attempts.push_back(attempt);
     asio::post(io_, [this, id, number] { FinishAttempt(id, number, Result::kNeverSent); });
@@ -549,13 +569,11 @@
     };
     events.request_written = [this, id, number] { OnRequestWritten(id, number); };
   }
-  const Micros left = pending.body_pending ? ComputeBudget(pending.message.head, pending.request_class)
-                                           : attempt.expires_at - now;
   TraceRequest(id, "sent",
                [&] { return std::to_string(number) + " to " + server + " within " + Seconds(left); });
   attempt.upstream_id = upstream_.Send(server, BuildForwardedRequest(pending, left), std::move(events));
   pending.attempts.push_back(attempt);
-  if (attempt.expires_at < pending.deadline) ArmRequestTimer(id, pending);
+  if (pending.body_pending || attempt.expires_at < pending.deadline) ArmRequestTimer(id, pending);
 }
 
 void Sidecar::Cancel(std::string_view request, int attempt) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -81,7 +81,8 @@
   // Reports to the Balancer from when on missed changes of the list take effect.
   void ReportListStaleness();
   void OnRequest(const Inbound::SessionPtr& session, Message<true> request);
-  // The last byte of a request with a streamed body has been written: its deadline and timeout start now.
+  // The last byte of a request with a streamed body has been written: its deadline is fixed, and the timeout
+  // of the attempt starts now.
   void OnRequestWritten(const std::string& id, int number);
   void OnClientDisconnected(const std::string& id);
   void OnUpstreamAnswer(const std::string& id, int attempt, UpstreamAnswer answer);
@@ -104,6 +105,11 @@
   // Sets the request's timer to its next deadline: the end of an attempt, or of the request itself.
   void ArmRequestTimer(const std::string& id, PendingRequest& pending);
   void OnRequestTimer(const std::string& id);
+  // Moves the deadline of a request whose body is still being received: its time starts when the client may
+  // have sent the last byte.
+  void UpdateUploadDeadline(PendingRequest& pending) const;
+  // Gives up the attempts of a request whose body could not be written in time. The request may be freed.
+  void AbortUpload(const PendingRequest& pending);
   // Ends the attempts of a request that have expired. The request may be freed.
   void FinishExpiredAttempts(const std::string& id, Micros now);
   static const char* NotSentReason(const PendingRequest& pending);
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -125,6 +125,12 @@
     pool_.Remove(*this);
   }
 
+  // See Upstream::AbortRequest.
+  void AbortRequest() {
+    if (dialing_) return Fail(Result::kUnreachable, FailureCause::kRequestCutOff);
+    if (writing_ && !abort_cause_) AbortWrite(FailureCause::kRequestCutOff);
+  }
+
   // Closes without notifying the pool, which is being destroyed. Pending handlers find the connection closed.
   void Abandon() {
     closed_ = true;
@@ -585,6 +591,13 @@
   if (connection != nullptr) connection->Close();
 }
 
+void Upstream::AbortRequest(AttemptId attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end() || it->second == nullptr) return;
+  const ConnectionPtr connection = it->second;  // keeps it alive: it may be closed
+  connection->AbortRequest();
+}
+
 // Returns the most recently used connection that has been idle for the reuse delay. Without that delay a
 // duplicate or surplus data that a server sends right after an answer could be taken for the next answer:
 // HTTP/1.1 matches answers to requests only by their order on the connection.
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -77,6 +77,10 @@
   AttemptId Send(const std::string& server, Message<true> request, Events events);
   // Aborts an attempt by closing its connection; its `done` is not called any more.
   void Cancel(AttemptId attempt);
+  // Gives up an attempt whose request has not been written completely. `done` is called, here or soon after:
+  // with kUnreachable, or with kReset if the last byte turns out to have been written. Does nothing if the
+  // request is known to have been written.
+  void AbortRequest(AttemptId attempt);
 
   // Changes Limits::soft_limit and closes idle connections above it.
   void SetSoftLimit(std::size_t connections);
