An answer of unknown length that never ends is cut off at its client's deadline

Its clients get just that: 20 of them had no final answer 3.15 s after their request, with 2.6 s as their deadline.

Cause: of an answer of unknown length 16 KiB are buffered, then the request counts as answered and its deadline is given up. What bounds the rest is the stall check, which small pieces satisfy.

Fix: the rest of such an answer is read through ShortAnswerDeadline. As long as the answer may be a short one (up to 64 KiB, whose last byte is timed), it has to be complete within the client's time; otherwise the body fails and the client's connection is reset. Only the time in which the server is awaited counts. A longer answer is timed by its first bytes and goes on as before, however slowly.

--- /dev/null
+++ b/src/net/short_answer_deadline.cpp
@@ -0,0 +1,55 @@
+#include "short_answer_deadline.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <utility>
+
+namespace merlinrun::net {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::microseconds;
+
+ShortAnswerDeadline::ShortAnswerDeadline(asio::io_context& io, BodySourcePtr source, std::size_t received,
+                                         Micros time_left)
+    : source_(std::move(source)), timer_(io), received_(received), time_left_(time_left) {}
+
+void ShortAnswerDeadline::ReadSome(asio::mutable_buffer into, ReadHandler handler) {
+  handler_ = std::move(handler);
+  if (MayBeShort()) StartTimer();
+  source_->ReadSome(into, [self = shared_from_this()](ErrorCode error, std::size_t n, bool last) {
+    self->OnChunk(error, n, last);
+  });
+}
+
+void ShortAnswerDeadline::Stop() {
+  handler_ = nullptr;
+  timer_.cancel();
+  if (source_ != nullptr) std::exchange(source_, nullptr)->Stop();
+}
+
+void ShortAnswerDeadline::StartTimer() {
+  read_began_ = Clock::now();
+  timer_.expires_after(time_left_);
+  timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
+    if (!stopped) self->OnTimeout();
+  });
+}
+
+void ShortAnswerDeadline::OnChunk(ErrorCode error, std::size_t n, bool last) {
+  if (!handler_) return;
+  if (MayBeShort()) {
+    time_left_ -= std::chrono::duration_cast<microseconds>(Clock::now() - read_began_);
+    timer_.cancel();
+  }
+  received_ += n;
+  std::exchange(handler_, nullptr)(error, n, last);
+}
+
+void ShortAnswerDeadline::OnTimeout() {
+  // The timer may have expired in the same event loop iteration in which a chunk arrived.
+  if (!handler_ || !MayBeShort() || timer_.expiry() > Clock::now()) return;
+  std::exchange(source_, nullptr)->Stop();
+  std::exchange(handler_, nullptr)(asio::error::timed_out, 0, true);
+}
+
+}  // namespace merlinrun::net
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <utility>
 
+#include "short_answer_deadline.hpp"
 #include "trace.hpp"
 
 namespace merlinrun::net {
@@ -386,7 +387,8 @@
 // An answer with a streamed body is counted when its last chunk has been written.
 void Sidecar::ForwardAnswer(const std::string& id, UpstreamAnswer answer) {
   TraceRequest(id, "answered");
-  const std::size_t request_class = pending_requests_.Find(id)->request_class;
+  const PendingRequest& pending = *pending_requests_.Find(id);
+  const std::size_t request_class = pending.request_class;
   Inbound::Reply reply;
   reply.message.head.result(http::status::ok);
   if (const auto type = answer.message.head[http::field::content_type]; !type.empty())
@@ -394,6 +396,9 @@
   reply.message.buffered = std::move(answer.message.buffered);
   reply.message.remaining = std::move(answer.message.remaining);
   reply.message.length = answer.message.length;
+  if (reply.message.remaining != nullptr && !reply.message.length)
+    reply.message.remaining = std::make_shared<ShortAnswerDeadline>(
+        io_, std::move(reply.message.remaining), reply.message.buffered->size(), pending.deadline - Now());
   reply.reservation = std::move(answer.reservation);
   if (reply.message.remaining == nullptr) {
     counters_.FinishRequest(request_class, Counters::FinalStatus::kServed);
