A rejected object of the list no longer ends the process

Cause: Discovery::Call::OnChunk used owner_ after its loop, and the rejection of the last object had cleared it. Within the loop that is checked before each byte.

Fix: it is checked after the loop as well.

Test: DiscoveryTest.AnObjectMayBeCutAtAnyByte... delivers an accepted, an outdated and an invalid object in two pieces, cut at each byte. It ended with SIGSEGV before and passes now.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -140,6 +140,7 @@
         owner_->OnObject(*this, *object);
       }
     }
+    if (owner_ == nullptr) return;  // the last object was rejected
     if (objects_.size() > kMaxObjectSize) return End(CallResult::kInvalidData, "object too large");
     UpdateAge(now, /*received_data=*/chunk_.size() > parser_.get().body().size);
     ReadBody();
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -33,6 +33,22 @@
     discovery->SetKnownGeneration(41);
     discovery->Watch();
   }
+  // Lets a new discovery client read both pieces one after the other, and waits until it has received or
+  // rejected the object.
+  void DeliverInTwoPieces(const std::string& first, const std::string& second) {
+    Discovery::Timing timing = LongTimeouts();
+    timing.reopens_itself = false;
+    lists.clear();
+    failures = 0;
+    Start({Chunk(first)}, timing);
+    ASSERT_TRUE(RunUntil(io, [&] { return watches == 1; }));
+    RunFor(io, 2ms);
+    if (failures == 0 && !second.empty()) server->peers[0]->Write(Chunk(second));
+    ASSERT_TRUE(RunUntil(io, [&] { return !lists.empty() || failures > 0; }));
+    watches = 0;
+    old_servers.push_back(std::move(server));
+    old_clients.push_back(std::move(discovery));
+  }
   // Timeouts of a day, so that on a busy machine no watch counts as silent and no missed change takes effect.
   // Each test shortens only those that it is about.
   static Discovery::Timing LongTimeouts() {
@@ -48,7 +64,9 @@
   asio::io_context io;
   drill::WireSettings names{{}, {"west", "east"}, {"std"}};
   std::unique_ptr<ScriptedServer> server;
+  std::vector<std::unique_ptr<ScriptedServer>> old_servers;  // kept, as their handlers may still be called
   std::unique_ptr<Discovery> discovery;
+  std::vector<std::unique_ptr<Discovery>> old_clients;
   std::size_t watches = 0;
   std::vector<EndpointList> lists;
   int failures = 0;
@@ -231,6 +249,22 @@
   EXPECT_EQ(failures, static_cast<int>(bad.size()));
 }
 
+// Guards against a crash (SIGSEGV) when the last byte of a rejected object was also the last byte that was
+// read.
+TEST_F(DiscoveryTest, AnObjectMayBeCutAtAnyByteWhetherItIsAcceptedOrRejected) {
+  std::string accepted = Line(42, "s-b");
+  std::string outdated = Line(3, "s-b");
+  std::string invalid = "{\"generation\": nonsense}\n";
+  for (std::string* text : {&accepted, &outdated, &invalid}) {
+    text->pop_back();  // the line break: the object ends with its last byte
+    for (std::size_t cut = 1; cut <= text->size(); ++cut) {
+      ASSERT_NO_FATAL_FAILURE(DeliverInTwoPieces(text->substr(0, cut), text->substr(cut)));
+      EXPECT_EQ(lists.size(), text == &accepted ? 1U : 0U) << *text << " cut at " << cut;
+      EXPECT_EQ(failures, text == &accepted ? 0 : 1) << *text << " cut at " << cut;
+    }
+  }
+}
+
 TEST_F(DiscoveryTest, RequestsTheFullListFromANewAddressAndThenWatches) {
   Start({Chunk(Line(42, "s-a"))});
   ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 1; }));
