The relay no longer counts a failed call as data from its upstream

Seen by operators: while the upstream of a relay is down, upstream_unheard_s in its /status starts again with every failed call, and its log alternates between 'connected' and 'connection lost'.

The relay sets its events by position, so its handler for data became the one for the age.

Fix: Discovery reports both, and the two owners name the events that they set.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -15,8 +15,10 @@
               {[this] { return Status(); }, [this] { return UpstreamCaughtUp(); }}),
       catch_up_time_(config.catch_up_time),
       upstream_(io, config.upstream, settings_without_names_, config.timing, config.seed,
-                {[](const net::EndpointList&) {}, [this](Micros) { OnFailed(); },
-                 [this](const nlohmann::json& object) { OnObject(object); }, [this] { OnData(); }}),
+                {.on_list = [](const net::EndpointList&) {},
+                 .on_failed = [this](Micros) { OnFailed(); },
+                 .on_object = [this](const nlohmann::json& object) { OnObject(object); },
+                 .on_data = [this] { OnData(); }}),
       last_data_at_(Clock::now()) {
   state_file_.Read(feed_.store());
   if (feed_.store().known()) upstream_.SetKnownGeneration(feed_.store().generation());
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -224,6 +224,7 @@
 void Discovery::OnData() {
   last_data_at_ = Clock::now();
   age_.OnData();
+  if (events_.on_data) events_.on_data();
 }
 
 void Discovery::ReportAge() const {
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -51,6 +51,8 @@
     std::function<void(Micros within)> on_failed;
     // Optional: called right before `on_list` with the JSON object that the list was read from, as received.
     std::function<void(const nlohmann::json&)> on_object{};
+    // Optional: part of an answer has been received, be it only a blank line.
+    std::function<void()> on_data{};
     // Optional: missed_changes_take_effect_at() may have changed.
     std::function<void()> on_age_changed{};
   };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -126,11 +126,12 @@
       counters_(config_.wire.settings.classes.size()),
       upstream_(io, UpstreamLimits(config_), budget_, counters_),
       discovery_(io, config_.discovery, config_.wire, DiscoveryTiming(config_), config_.seed,
-                 {[this](const EndpointList& list) {
-                    OnList(list.full ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
-                  },
-                  [this](Micros within) { OnDiscoveryFailed(within); },
-                  /*on_object=*/{}, [this] { ReportListStaleness(); }}),
+                 {.on_list =
+                      [this](const EndpointList& list) {
+                        OnList(list.full ? ListUpdate::Kind::kFull : ListUpdate::Kind::kDelta, list);
+                      },
+                  .on_failed = [this](Micros within) { OnDiscoveryFailed(within); },
+                  .on_age_changed = [this] { ReportListStaleness(); }}),
       shared_dir_timer_(io),
       log_timer_(io) {
   if (config_.accept_fd) shared_dir_.AcquirePresenceLock();
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -285,6 +285,19 @@
   EXPECT_NE(upstream.OpenWatches()[0]->received.find("index=41 "), std::string::npos);
 }
 
+// Guards against a status in which each failed call counted as data from the upstream.
+TEST_F(RelayTest, AFailedCallIsNoDataFromTheUpstream) {
+  config.timing.backoff_base = config.timing.backoff_max = 50'000;
+  Start();
+  upstream.server.StopListening();
+  upstream.OpenWatches()[0]->Reset();
+  RunFor(io, 300ms);
+  const Json status = Json::parse(relay->Status());
+  EXPECT_GT(status.at("upstream_ends"), 1);
+  EXPECT_EQ(status.at("upstream_connected"), false);
+  EXPECT_GE(status.at("upstream_unheard_s"), 0.3);
+}
+
 TEST_F(RelayTest, AnIncompleteStateFileIsIgnoredAndTheListIsRequestedAgain) {
   UseStateFile();
   std::ofstream(config.state_path) << "{\"format\":\"rookhub relay state 1\",\"generation\":9";
