A shutdown no longer fails uploads long before their clients' deadline

Seen by callers: a request whose body is being forwarded at SIGTERM gets 502 or 503 before its deadline, although the shutdown waits longer than that and its server would serve it.

Fix: the end of the shutdown limits the deadline itself. ComputeDeadline, in place of ComputeBudget, serves new requests and uploads.

--- a/src/net/graceful_shutdown.cpp
+++ b/src/net/graceful_shutdown.cpp
@@ -50,11 +50,6 @@
   }
 }
 
-Micros GracefulShutdown::time_left() const {
-  const auto left = std::chrono::duration_cast<microseconds>(requests_end_ - Clock::now());
-  return std::max<Micros>(left.count(), 0);
-}
-
 void GracefulShutdown::After(microseconds delay, void (GracefulShutdown::*next)()) {
   timer_.expires_after(delay);
   timer_.async_wait([this, next](ErrorCode error) {
--- a/src/net/graceful_shutdown.hpp
+++ b/src/net/graceful_shutdown.hpp
@@ -19,6 +19,8 @@
 // that stops reading are ended by their own timeouts. All callbacks come from the event loop.
 class GracefulShutdown {
  public:
+  using Clock = std::chrono::steady_clock;
+
   // The requests that have no answer yet or still have an attempt in flight.
   struct PendingRequests {
     std::function<bool()> empty;   // whether there are none
@@ -33,12 +35,10 @@
   GracefulShutdown(asio::io_context& io, Inbound& inbound, Settings settings, PendingRequests requests,
                    std::function<void()> done);
 
-  // The time until requests without an answer are failed; 0 from then on.
-  Micros time_left() const;
+  // When requests without an answer are failed.
+  Clock::time_point requests_end() const { return requests_end_; }
 
  private:
-  using Clock = std::chrono::steady_clock;
-
   // Calls `next` after `delay`, unless this object is destroyed before.
   void After(std::chrono::microseconds delay, void (GracefulShutdown::*next)());
   void StopAccepting();
@@ -48,8 +48,8 @@
   const Settings settings_;
   const PendingRequests requests_;
   std::function<void()> done_;
-  const Clock::time_point requests_end_;  // when requests without an answer are failed
-  Clock::time_point answers_read_end_;    // clients may read the answers written last until then
+  const Clock::time_point requests_end_;
+  Clock::time_point answers_read_end_;  // clients may read the answers written last until then
   asio::steady_timer timer_;
 };
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -266,14 +266,16 @@
                            config_.wire.settings.classes[static_cast<std::size_t>(request_class)].repeat);
 }
 
-Micros Sidecar::ComputeBudget(const RequestHeader& request, std::size_t request_class) const {
+Micros Sidecar::ComputeDeadline(const RequestHeader& request, std::size_t request_class,
+                                Micros complete_at) const {
   Micros budget = config_.wire.settings.classes[request_class].deadline;
   if (const auto seconds = ParseDecimal(ToStringView(request[kDeadlineHeader]))) {
     const auto requested = static_cast<Micros>(*seconds * static_cast<double>(kSecond));
     budget = budget > 0 ? std::min(budget, requested) : requested;
   }
   budget -= std::min(kAnswerMargin, static_cast<Micros>(kMaxMarginShare * static_cast<double>(budget)));
-  return shutdown_ != nullptr ? std::min(shutdown_->time_left(), budget) : budget;
+  const Micros deadline = complete_at + budget;
+  return shutdown_ == nullptr ? deadline : std::min(deadline, ToBalancerTime(shutdown_->requests_end()));
 }
 
 void Sidecar::OnRequest(const Inbound::SessionPtr& session, Message<true> request) {
@@ -285,7 +287,8 @@
     return Inbound::Reject(session, *rejection);
   }
   const Micros now = Now();
-  const Micros budget = ComputeBudget(request.head, static_cast<std::size_t>(request_class));
+  const Micros deadline = ComputeDeadline(request.head, static_cast<std::size_t>(request_class), now);
+  const Micros budget = std::max<Micros>(deadline - now, 0);
   TraceRequest(id, "taken", [&] { return "budget " + Seconds(budget); });
 
   counters_.StartRequest(static_cast<std::size_t>(request_class));
@@ -294,7 +297,7 @@
   pending.message = std::move(request);
   pending.body_pending = pending.message.remaining != nullptr;
   pending.session = session;
-  pending.deadline = now + budget;
+  pending.deadline = deadline;
   pending.timer = std::make_unique<asio::steady_timer>(io_);
   ArmRequestTimer(id, pending);
 
@@ -470,8 +473,8 @@
 
 void Sidecar::UpdateUploadDeadline(PendingRequest& pending) const {
   if (pending.session == nullptr) return;
-  pending.deadline = ToBalancerTime(Inbound::RequestIncompleteAt(pending.session)) +
-                     ComputeBudget(pending.message.head, pending.request_class);
+  pending.deadline = ComputeDeadline(pending.message.head, pending.request_class,
+                                     ToBalancerTime(Inbound::RequestIncompleteAt(pending.session)));
 }
 
 // The outcomes of the attempts follow, and the Balancer then ends the request.
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -115,8 +115,9 @@
   static const char* NotSentReason(const PendingRequest& pending);
   static Message<true> BuildForwardedRequest(const PendingRequest& pending, Micros left);
   std::optional<Rejection> Validate(const RequestHeader& request, int request_class) const;
-  // The time for the final answer: what the client asks for, but no more than its class's deadline.
-  Micros ComputeBudget(const RequestHeader& request, std::size_t request_class) const;
+  // When the final answer to a request is due whose last byte was sent at `complete_at`: within the time that
+  // its client and its class allow, and before a shutdown fails what has no answer.
+  Micros ComputeDeadline(const RequestHeader& request, std::size_t request_class, Micros complete_at) const;
   int ClassIndex(std::string_view name) const;
   int TenantIndex(std::string_view name) const;
   void ScheduleSharedDirPoll();
--- a/tests/net/upload_deadline_test.cpp
+++ b/tests/net/upload_deadline_test.cpp
@@ -164,6 +164,22 @@
 
 INSTANTIATE_TEST_SUITE_P(WithLengthOrChunked, FramedUploadTest, ::testing::Bool());
 
+// Guards against uploads that were given up in a shutdown long before their clients' deadline: the time that
+// the shutdown leaves was counted from the beginning of the request.
+TEST_F(UploadDeadlineTest, AShutdownDoesNotShortenTheTimeOfARequestThatEndsBeforeIt) {
+  PacedServer server(io);
+  Start({Entry("s-1", server.address)});
+  server.SetRate(0);
+  const std::size_t size = BodyForTwoConnections();
+  const auto client = Upload(WithLength("3.0", size));
+  sidecar->Drain([] {});
+  RunFor(io, 2000ms);
+  EXPECT_EQ(client->received, "");
+  server.SetRate(size);
+  server.AnswerAfter(size);
+  ExpectAnswer(*client, "200", milliseconds(3000));
+}
+
 // The kernel of the client cannot hold all that is missing, so the client has not sent its last byte either.
 TEST_F(UploadDeadlineTest, ABodyOfKnownLengthThatTheServerReadsSlowlyIsServed) {
   PacedServer server(io);
