Rejected list data: tests of the sidecar, the relay and each callback, and the related paths

No further fault was found.

Tests: a sidecar and a relay that get an invalid change as the last data of a read; each event of Discovery switching the address, which ends the call that made it; the cut at each byte also of an object whose error only the JSON parser finds.

--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -255,7 +255,8 @@
   std::string accepted = Line(42, "s-b");
   std::string outdated = Line(3, "s-b");
   std::string invalid = "{\"generation\": nonsense}\n";
-  for (std::string* text : {&accepted, &outdated, &invalid}) {
+  std::string malformed = "{\"generation\":,}\n";  // only the parser of the complete object finds the error
+  for (std::string* text : {&accepted, &outdated, &invalid, &malformed}) {
     text->pop_back();  // the line break: the object ends with its last byte
     for (std::size_t cut = 1; cut <= text->size(); ++cut) {
       ASSERT_NO_FATAL_FAILURE(DeliverInTwoPieces(text->substr(0, cut), text->substr(cut)));
@@ -265,6 +266,49 @@
   }
 }
 
+enum class Event { kObject, kList, kFailure, kData, kAgeChange };
+
+class DiscoveryCallbackTest : public DiscoveryTest, public ::testing::WithParamInterface<Event> {
+ protected:
+  void SwitchAt(Event event) {
+    if (event == GetParam()) discovery->SwitchTo(next_server.address);
+  }
+
+  ScriptedServer next_server{io, [](Peer& peer) {
+                               if (peer.requests() == 1)
+                                 peer.Write(Reply("200 OK", List(7, true, {}).dump()));
+                             }};
+};
+
+// Guards against the use of a call that has been ended by the callback that it made: the switch to another
+// address ends the call in progress.
+TEST_P(DiscoveryCallbackTest, EachOneMayEndTheCallThatMadeIt) {
+  std::string outdated = Line(3, "s-b");
+  outdated.pop_back();  // the line break: it is rejected with the last byte that is read
+  ScriptedServer first_server(io, [&](Peer& peer) {
+    if (peer.requests() == 1)
+      peer.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(Line(42, "s-a")) +
+                 Chunk(outdated));
+  });
+  Discovery::Events events;
+  events.on_object = [this](const nlohmann::json&) { SwitchAt(Event::kObject); };
+  events.on_list = [this](const EndpointList& list) {
+    lists.push_back(list);
+    SwitchAt(Event::kList);
+  };
+  events.on_failed = [this](Micros) { SwitchAt(Event::kFailure); };
+  events.on_data = [this] { SwitchAt(Event::kData); };
+  events.on_age_changed = [this] { SwitchAt(Event::kAgeChange); };
+  discovery = std::make_unique<Discovery>(io, first_server.address, names, LongTimeouts(), 1, events);
+  discovery->SetKnownGeneration(41);
+  discovery->Watch();
+  EXPECT_TRUE(RunUntil(io, [&] { return !lists.empty() && lists.back().generation == 7; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Events, DiscoveryCallbackTest,
+                         ::testing::Values(Event::kObject, Event::kList, Event::kFailure, Event::kData,
+                                           Event::kAgeChange));
+
 TEST_F(DiscoveryTest, RequestsTheFullListFromANewAddressAndThenWatches) {
   Start({Chunk(Line(42, "s-a"))});
   ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 1; }));
--- a/tests/net/sidecar_edge_cases_test.cpp
+++ b/tests/net/sidecar_edge_cases_test.cpp
@@ -257,6 +257,16 @@
   EXPECT_EQ(two.requests(), 5);
 }
 
+// Guards against a crash (SIGSEGV) on an invalid change that is the last data of a read.
+TEST_F(SidecarEdgeCasesTest, AnInvalidChangeAtTheEndOfAReadKeepsTheListAndTheProcess) {
+  ScriptedServer one(io, Serves("one"));
+  Start({Entry("s-1", one.address)});
+  const nlohmann::json invalid = {{"instanceId", 7}};
+  watch_peer->Write(Chunk(List(2, false, {invalid}).dump()));
+  ASSERT_TRUE(RunUntil(io, [&] { return discovery.peers.size() == 2; }));
+  EXPECT_EQ(Ask(Get("a")), "200");
+}
+
 // A watch whose JSON object never becomes complete is closed, even if blank lines arrive within the object.
 TEST_F(SidecarEdgeCasesTest, ClosesAWatchWhoseObjectNeverEnds) {
   ScriptedServer one(io, Serves("one"));
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -174,6 +174,17 @@
   EXPECT_EQ(States(Objects(*Watch(3))[0]), (StatesById{{"y", "up"}}));
 }
 
+// Guards against a crash (SIGSEGV) of the relay on a rejected change that is the last data of a read.
+TEST_F(RelayTest, ARejectedChangeAtTheEndOfAReadEndsOnlyItsCall) {
+  Start();
+  const auto watch = Watch(41);
+  upstream.first_object = List(43, false, {Instance("c")}).dump();
+  const Json invalid = {{"instanceId", 7}};
+  upstream.OpenWatches()[0]->Write(Chunk(List(42, false, {invalid}).dump()));
+  ASSERT_TRUE(Receives(watch, 2));
+  EXPECT_EQ(States(Objects(*watch)[1]), (StatesById{{"c", "up"}}));
+}
+
 // A client can have a higher generation than the relay if it comes from a relay that was ahead, or from a
 // discovery that was replaced.
 TEST_F(RelayTest, AWatchWithAHigherGenerationWaitsUntilTheRelayReachesIt) {
