Sidecar: the mapping of requests and the log of answers are modules of their own

RequestMapping turns a client's headers into the request for the Balancer and for servers, AnswerLog writes the 'answers:' lines; the Sidecar keeps the events and the timers. The code was moved, not changed. The object key is still copied before the Balancer gets the request, as the Balancer may end and free it before it returns.

--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -4,9 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <chrono>
-#include <cmath>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -18,9 +16,6 @@
 namespace merlinrun::net {
 namespace {
 
-constexpr Micros kMs = 1000;
-constexpr Micros kSecond = 1000 * kMs;
-
 // File descriptors for everything but client and server connections: the standard streams, epoll and its
 // helpers, the listener, the watch, and connections that are being rejected.
 constexpr std::size_t kReservedSockets = 32;
@@ -34,15 +29,9 @@
 // Idle connections are closed at this fraction of the time after which servers may close them. A request
 // that is sent while the server closes the connection is reset, and it is unknown whether it ran.
 constexpr double kIdleTimeoutFraction = 0.7;
-// The final answer is due this long before the client gives up, because other sidecars share the core and a
-// busy event loop runs late. The margin takes at most kMaxMarginShare of a short budget.
-constexpr Micros kAnswerMargin = 40 * kMs;
-constexpr double kMaxMarginShare = 0.2;
 // How often the shared folder is read. Changes by another process must take effect here within 1 s.
 constexpr auto kSharedDirPollInterval = std::chrono::milliseconds(200);
 constexpr int kPollsPerHandover = 5;  // polls of the shared folder between two writes of the handover file
-// Unsuccessful answers are logged at most once in this interval, and not at all while there are none.
-constexpr auto kLogInterval = std::chrono::seconds(1);
 
 // Why a request failed, by the result of its last attempt, for the log.
 const char* FailureReason(Result last) {
@@ -67,25 +56,6 @@
   return "failed";
 }
 
-std::string Seconds(Micros time) {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.3f", static_cast<double>(time) / static_cast<double>(kSecond));
-  return text;
-}
-
-// The query parameter that names the object of a request; empty if there is none.
-std::string_view ObjectKey(std::string_view target) {
-  const std::string name = std::string(kKeyParameter) + "=";
-  std::size_t at = target.find('?');
-  while (at != std::string_view::npos) {
-    const std::string_view rest = target.substr(at + 1);
-    const std::string_view pair = rest.substr(0, rest.find('&'));
-    if (pair.substr(0, name.size()) == name) return pair.substr(name.size());
-    at = target.find('&', at + 1);
-  }
-  return {};
-}
-
 std::size_t ClientSockets(const Config& config) {
   return static_cast<std::size_t>(kClientShare *
                                   static_cast<double>(config.descriptor_limit - kReservedSockets));
@@ -123,6 +93,7 @@
       shared_dir_(config_.accept_fd || config_.management ? config_.shared_dir : ""),
       clock_offset_(ClockOffset()),
       budget_(config_.memory_limit / kMemoryBudgetDivisor),
+      request_mapping_(config_),
       counters_(config_.wire.settings.classes.size()),
       upstream_(io, UpstreamLimits(config_), budget_, counters_),
       discovery_(io, config_.discovery, config_.wire, DiscoveryTiming(config_), config_.seed,
@@ -133,7 +104,7 @@
                   .on_failed = [this](Micros within) { OnDiscoveryFailed(within); },
                   .on_age_changed = [this] { ReportListStaleness(); }}),
       shared_dir_timer_(io),
-      log_timer_(io) {
+      answer_log_(io, counters_, pending_requests_) {
   if (config_.accept_fd) shared_dir_.AcquirePresenceLock();
   config_.wire.settings.takes_over = shared_dir_.Scan().other_process_alive;
   std::string error;
@@ -268,28 +239,22 @@
 
 Micros Sidecar::ComputeDeadline(const RequestHeader& request, std::size_t request_class,
                                 Micros complete_at) const {
-  Micros budget = config_.wire.settings.classes[request_class].deadline;
-  if (const auto seconds = ParseDecimal(ToStringView(request[kDeadlineHeader]))) {
-    const auto requested = static_cast<Micros>(*seconds * static_cast<double>(kSecond));
-    budget = budget > 0 ? std::min(budget, requested) : requested;
-  }
-  budget -= std::min(kAnswerMargin, static_cast<Micros>(kMaxMarginShare * static_cast<double>(budget)));
-  const Micros deadline = complete_at + budget;
+  const Micros deadline = complete_at + request_mapping_.AnswerTime(request, request_class);
   return shutdown_ == nullptr ? deadline : std::min(deadline, ToBalancerTime(shutdown_->requests_end()));
 }
 
 void Sidecar::OnRequest(const Inbound::SessionPtr& session, Message<true> request) {
   const std::string id(ToStringView(request.head[kIdHeader]));
-  const int request_class = ClassIndex(ToStringView(request.head[kClassHeader]));
+  const int request_class = request_mapping_.ClassIndex(ToStringView(request.head[kClassHeader]));
   if (const auto rejection = Validate(request.head, request_class)) {
-    CountUnsuccessful(rejection->text);
+    answer_log_.CountUnsuccessful(rejection->text);
     TraceRequest(id, "rejected", [&] { return SanitizeForLog(rejection->text); });
     return Inbound::Reject(session, *rejection);
   }
   const Micros now = Now();
   const Micros deadline = ComputeDeadline(request.head, static_cast<std::size_t>(request_class), now);
   const Micros budget = std::max<Micros>(deadline - now, 0);
-  TraceRequest(id, "taken", [&] { return "budget " + Seconds(budget); });
+  TraceRequest(id, "taken", [&] { return "budget " + FormatSeconds(budget); });
 
   counters_.StartRequest(static_cast<std::size_t>(request_class));
   PendingRequest& pending = pending_requests_.Add(id);
@@ -301,20 +266,9 @@
   pending.timer = std::make_unique<asio::steady_timer>(io_);
   ArmRequestTimer(id, pending);
 
-  merlinrun::Request in;
-  in.id = id;
-  in.request_class = request_class;
-  const auto& head = pending.message.head;
-  in.tenant = TenantIndex(ToStringView(head[kTenantHeader]));
-  in.budget = budget;
-  in.body_pending = pending.body_pending;
-  in.repeated = head[kRetryHeader] == "1";
-  in.write = head.method() != http::verb::get;
-  if (const auto cost = ParseDecimal(ToStringView(head[kCostHeader])); cost && *cost < 1e12)
-    in.cost = static_cast<Micros>(*cost);
-  const std::string key(ObjectKey(ToStringView(head.target())));
-  in.key = key;
-  balancer_->OnRequest(now, in);
+  // The id and the key are copies: the Balancer may end the request, and free it, before it returns.
+  const std::string key = RequestMapping::ObjectKey(pending.message.head);
+  balancer_->OnRequest(now, request_mapping_.ForBalancer(id, key, pending, budget));
 }
 
 void Sidecar::OnClientDisconnected(const std::string& id) {
@@ -323,7 +277,7 @@
   const std::size_t request_class = pending->request_class;
   if (pending_requests_.TakeSession(id) != nullptr)
     counters_.FinishRequest(request_class, Counters::FinalStatus::kClientDisconnected);
-  CountUnsuccessful("left by the client");
+  answer_log_.CountUnsuccessful("left by the client");
   TraceRequest(id, "left by the client");
   balancer_->OnClientDisconnected(Now(), id);
 }
@@ -376,8 +330,8 @@
 }
 
 void Sidecar::OnRefusedForMemory(const RequestHeader& header) {
-  const int request_class = ClassIndex(ToStringView(header[kClassHeader]));
-  CountUnsuccessful("out of memory for requests");
+  const int request_class = request_mapping_.ClassIndex(ToStringView(header[kClassHeader]));
+  answer_log_.CountUnsuccessful("out of memory for requests");
   if (request_class < 0) return;
   counters_.StartRequest(static_cast<std::size_t>(request_class));
   counters_.FinishRequest(static_cast<std::size_t>(request_class), Counters::FinalStatus::kRefused);
@@ -408,7 +362,8 @@
     counters_.FinishRequest(request_class, Counters::FinalStatus::kServed);
   } else {
     reply.done = [this, request_class](Inbound::Delivery sent) {
-      if (sent == Inbound::Delivery::kTruncated) CountUnsuccessful("failed in the middle of an answer");
+      if (sent == Inbound::Delivery::kTruncated)
+        answer_log_.CountUnsuccessful("failed in the middle of an answer");
       counters_.FinishRequest(request_class, sent == Inbound::Delivery::kComplete
                                                  ? Counters::FinalStatus::kServed
                                              : sent == Inbound::Delivery::kTruncated
@@ -419,30 +374,6 @@
   Inbound::Respond(pending_requests_.TakeSession(id), std::move(reply));
 }
 
-void Sidecar::CountUnsuccessful(const char* reason) {
-  std::string_view text(reason);
-  if (text.back() == '\n') text.remove_suffix(1);
-  ++unsuccessful_[text];
-  if (unsuccessful_.size() > 1 || unsuccessful_[text] > 1) return;
-  log_timer_.expires_after(kLogInterval);
-  log_timer_.async_wait([this](ErrorCode error) {
-    if (!error) LogUnsuccessful();
-  });
-}
-
-void Sidecar::LogUnsuccessful() {
-  std::string reasons;
-  for (const auto& [reason, count] : unsuccessful_) {
-    reasons += reasons.empty() ? "" : ", ";
-    reasons.append(reason).append(" ").append(std::to_string(count));
-  }
-  const std::uint64_t started = counters_.started();
-  std::fprintf(stderr, "answers: requests %llu, in work %zu, kept in memory %zu; %s\n",
-               static_cast<unsigned long long>(started - std::exchange(started_by_last_log_, started)),
-               counters_.in_progress(), pending_requests_.size(), reasons.c_str());
-  unsuccessful_.clear();
-}
-
 void Sidecar::ArmRequestTimer(const std::string& id, PendingRequest& pending) {
   const Micros wait = std::max<Micros>(pending.NextExpiry() - Now(), 0);
   pending.timer->expires_after(std::chrono::microseconds(wait));
@@ -464,7 +395,7 @@
   if (pending->session == nullptr) return;
   // The Balancer normally ends a request before its deadline. If it did not, the client still gets an answer
   // here.
-  CountUnsuccessful("out of time");
+  answer_log_.CountUnsuccessful("out of time");
   TraceRequest(id, "failed", [] { return std::string("out of time"); });
   Respond(id, Counters::FinalStatus::kFailed,
           PlainTextResponse(http::status::gateway_timeout, "out of time\n"));
@@ -501,41 +432,6 @@
   return pending.body_consumed ? "body consumed" : "out of time";
 }
 
-// Copies only the headers that the protocol defines: any other header could have a meaning to the server.
-Message<true> Sidecar::BuildForwardedRequest(const PendingRequest& pending, Micros left) {
-  Message<true> forwarded;
-  const auto& received = pending.message.head;
-  forwarded.head.method(received.method());
-  forwarded.head.target(received.target());
-  forwarded.head.version(11);
-  for (const char* name : kRequestHeaders)
-    if (const auto it = received.find(name); it != received.end()) forwarded.head.set(name, it->value());
-  forwarded.head.set(kDeadlineHeader, Seconds(left));
-  forwarded.buffered = pending.message.buffered;
-  forwarded.remaining = pending.message.remaining;
-  if (forwarded.remaining != nullptr) forwarded.length = pending.message.length;
-  return forwarded;
-}
-
-int Sidecar::ClassIndex(std::string_view name) const {
-  // Two class names may have the same wire name; an exact match of the configured name comes first.
-  const auto own = std::find(config_.class_names.begin(), config_.class_names.end(), name);
-  if (own != config_.class_names.end()) return static_cast<int>(own - config_.class_names.begin());
-  const auto& classes = config_.wire.settings.classes;
-  const std::string wire_name = ToWireName(name);
-  const auto it = std::find_if(classes.begin(), classes.end(),
-                               [&](const RequestClass& c) { return c.name == wire_name; });
-  return it == classes.end() ? -1 : static_cast<int>(it - classes.begin());
-}
-
-int Sidecar::TenantIndex(std::string_view name) const {
-  const auto& tenants = config_.wire.settings.tenants;
-  const std::string wire_name = ToWireName(name);
-  const auto it =
-      std::find_if(tenants.begin(), tenants.end(), [&](const Tenant& t) { return t.name == wire_name; });
-  return it == tenants.end() ? -1 : static_cast<int>(it - tenants.begin());
-}
-
 // ---- Actions requested by the Balancer; none of them may call back into it ----
 
 void Sidecar::Send(std::string_view request, const std::string& server, Micros timeout) {
@@ -579,8 +475,8 @@
     events.request_written = [this, id, number] { OnRequestWritten(id, number); };
   }
   TraceRequest(id, "sent",
-               [&] { return std::to_string(number) + " to " + server + " within " + Seconds(left); });
-  attempt.upstream_id = upstream_.Send(server, BuildForwardedRequest(pending, left), std::move(events));
+               [&] { return std::to_string(number) + " to " + server + " within " + FormatSeconds(left); });
+  attempt.upstream_id = upstream_.Send(server, RequestMapping::ForServer(pending, left), std::move(events));
   pending.attempts.push_back(attempt);
   if (pending.body_pending || attempt.expires_at < pending.deadline) ArmRequestTimer(id, pending);
 }
@@ -598,10 +494,10 @@
   const std::string id(request);
   const PendingRequest* const pending = pending_requests_.Find(id);
   if (pending == nullptr || pending->session == nullptr) return;
-  CountUnsuccessful(pending->attempts.empty() ? "refused unsent" : "refused after attempts");
+  answer_log_.CountUnsuccessful(pending->attempts.empty() ? "refused unsent" : "refused after attempts");
   TraceRequest(request, "refused");
   HttpResponse response = PlainTextResponse(http::status::service_unavailable, "refused\n");
-  if (retry_after > 0) response.set(http::field::retry_after, Seconds(retry_after));
+  if (retry_after > 0) response.set(http::field::retry_after, FormatSeconds(retry_after));
   Respond(id, Counters::FinalStatus::kRefused, std::move(response));
 }
 
@@ -612,7 +508,7 @@
   const Result last = pending->attempts.empty()
                           ? Result::kNeverSent
                           : pending->attempts.back().result.value_or(Result::kNeverSent);
-  CountUnsuccessful(FailureReason(last));
+  answer_log_.CountUnsuccessful(FailureReason(last));
   TraceRequest(request, "failed");
   Respond(id, Counters::FinalStatus::kFailed, PlainTextResponse(http::status::bad_gateway, "failed\n"));
 }
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -7,7 +7,6 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -15,6 +14,7 @@
 #include <string_view>
 #include <unordered_set>
 
+#include "answer_log.hpp"
 #include "budget.hpp"
 #include "config.hpp"
 #include "counters.hpp"
@@ -24,6 +24,7 @@
 #include "management.hpp"
 #include "merlinrun/balancer.hpp"
 #include "pending_requests.hpp"
+#include "request_mapping.hpp"
 #include "shared_dir.hpp"
 #include "upstream.hpp"
 
@@ -99,9 +100,6 @@
   void Respond(const std::string& id, Counters::FinalStatus final_status, HttpResponse response);
   // Forwards a server's successful answer to the client of an unanswered request. The request may be freed.
   void ForwardAnswer(const std::string& id, UpstreamAnswer answer);
-  // Counts a request without a successful answer, for the log. `reason` must be a string constant.
-  void CountUnsuccessful(const char* reason);
-  void LogUnsuccessful();
   // Sets the request's timer to its next deadline: the end of an attempt, or of the request itself.
   void ArmRequestTimer(const std::string& id, PendingRequest& pending);
   void OnRequestTimer(const std::string& id);
@@ -113,13 +111,10 @@
   // Ends the attempts of a request that have expired. The request may be freed.
   void FinishExpiredAttempts(const std::string& id, Micros now);
   static const char* NotSentReason(const PendingRequest& pending);
-  static Message<true> BuildForwardedRequest(const PendingRequest& pending, Micros left);
   std::optional<Rejection> Validate(const RequestHeader& request, int request_class) const;
   // When the final answer to a request is due whose last byte was sent at `complete_at`: within the time that
   // its client and its class allow, and before a shutdown fails what has no answer.
   Micros ComputeDeadline(const RequestHeader& request, std::size_t request_class, Micros complete_at) const;
-  int ClassIndex(std::string_view name) const;
-  int TenantIndex(std::string_view name) const;
   void ScheduleSharedDirPoll();
   // Reads the state that the processes of this sidecar share, applies it, and schedules the next poll.
   void PollSharedDir();
@@ -130,6 +125,7 @@
   SharedDir shared_dir_;
   const Micros clock_offset_;
   MemoryBudget budget_;  // declared before all members that reserve memory from it
+  const RequestMapping request_mapping_;
   Counters counters_;
   std::unique_ptr<Balancer> balancer_;
   Upstream upstream_;
@@ -142,10 +138,8 @@
   asio::steady_timer shared_dir_timer_;
   int shared_dir_polls_ = 0;
   bool other_process_alive_ = false;  // another process of this sidecar is running
-  asio::steady_timer log_timer_;
-  std::map<std::string_view, int> unsuccessful_;  // by reason, since the last log line
-  std::uint64_t started_by_last_log_ = 0;         // requests started until the last log line
-  std::unique_ptr<GracefulShutdown> shutdown_;    // null until Drain is called
+  AnswerLog answer_log_;
+  std::unique_ptr<GracefulShutdown> shutdown_;  // null until Drain is called
 };
 
 }  // namespace merlinrun::net
