A simulated fleet's run depends on its seed alone, on every architecture

Cause: for each arrival the class and the work of a request were drawn within the arguments of one call, and the order in which arguments are evaluated is not defined. So the same seed gave two different fleets.

Fix: each is drawn in a statement of its own, in the order of the source. Check, bound and seeds are unchanged; its entry in KNOWN-RED.txt stays. Why the balancers exceed the limit is not traced.

--- a/tests/slow_start_fleet.hpp
+++ b/tests/slow_start_fleet.hpp
@@ -204,7 +204,10 @@
         const double at = random_.Uniform() * cumulative_shares_.back();
         const auto i = std::upper_bound(cumulative_shares_.begin(), cumulative_shares_.end(), at) -
                        cumulative_shares_.begin();
-        return Arrive(static_cast<int>(i), random_.Below(4), 0.4 * random_.Exponential() + 0.6, 0);
+        // Drawn in statements of their own: the order in which arguments are evaluated is not defined.
+        const int request_class = random_.Below(4);
+        const double work = 0.4 * random_.Exponential() + 0.6;
+        return Arrive(static_cast<int>(i), request_class, work, 0);
       }
       case Event::kRetry: {
         const Call call = calls_[static_cast<std::size_t>(event.call)];
