Headers of very many short fields no longer pass the memory limit

Callers saw: hundreds of clients that each send a header of some thousand short fields end the process. With 32 MB and 1,024 descriptors, 545 such clients took it to 52.3 MB of private memory and 340 to 32.8 MB; the platform kills it at 32 MB, and every request that it has taken is lost. A restarted process meets the same clients at once.

Cause: the parser stores each field in an allocation of its own, some 90 bytes for a text of 5 bytes. The number of fields was checked after that (CheckRequest), and while the 431 of one client was being written, the headers of all others were parsed and stored. The trailer of a chunked body, and the header and trailer of an answer, were not limited in number at all.

Change: the lines of a header are counted in the input buffer before the parser sees them, and those of a trailer before it is parsed, for requests (64) and for answers (128).

Related paths: the management endpoint has 8 connections with headers of up to 4 kB, and discovery is one connection, so neither is changed.

--- a/src/net/body.hpp
+++ b/src/net/body.hpp
@@ -14,8 +14,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
+#include "field_limit.hpp"
 #include "protocol.hpp"
 
 namespace merlinrun::net {
@@ -155,17 +157,60 @@
   bool waiting_for_source_ = false;
 };
 
+// The unparsed input in a buffer.
+template <typename Buffer>
+std::string_view Unparsed(const Buffer& buffer) {
+  return {static_cast<const char*>(buffer.data().data()), buffer.size()};
+}
+
+// Fails the parsing of a message with http::error::header_limit if the trailer of its chunked body has too
+// many fields, before any of them is stored. It is attached to a parser that has no input yet, and outlives
+// it; so does the buffer that the parser is fed from.
+template <typename Buffer>
+class TrailerLimit {
+ public:
+  TrailerLimit(const Buffer& buffer, std::size_t max_fields) : buffer_(buffer), max_fields_(max_fields) {}
+  TrailerLimit(const TrailerLimit&) = delete;
+  TrailerLimit& operator=(const TrailerLimit&) = delete;
+
+  template <typename Parser>
+  void Attach(Parser& parser) {
+    parser.on_chunk_header(*this);
+  }
+  // Called for each chunk; for the last one, whose size is 0, when all of the trailer is in the buffer.
+  void operator()(std::uint64_t size, beast::string_view /*extension*/, ErrorCode& error) const {
+    if (size == 0 && HasMoreFieldsThan(LastChunkAndTrailer(), max_fields_)) error = http::error::header_limit;
+  }
+
+ private:
+  // The parser takes the line break after the previous chunk for a part of the next one.
+  std::string_view LastChunkAndTrailer() const {
+    std::string_view text = Unparsed(buffer_);
+    if (text.substr(0, 2) == "\r\n") text.remove_prefix(2);
+    return text;
+  }
+
+  const Buffer& buffer_;
+  const std::size_t max_fields_;
+};
+
 // Feeds the content of `buffer` to a parser and writes body bytes to `into`; unparsed input stays in
 // `buffer`. Returns at the end of the header, so that the caller can check it, and when `into` is full. The
-// result is the number of bytes written to `into`.
+// result is the number of bytes written to `into`. Fails with http::error::header_limit, before any field is
+// stored, if the header has more than `max_fields` fields.
 template <typename Parser, typename Buffer>
-std::size_t FeedParser(Parser& parser, Buffer& buffer, asio::mutable_buffer into, ErrorCode& error) {
+std::size_t FeedParser(Parser& parser, Buffer& buffer, asio::mutable_buffer into, std::size_t max_fields,
+                       ErrorCode& error) {
   auto& body = parser.get().body();
   body.data = into.data();
   body.size = into.size();
   body.more = true;
   const bool had_header = parser.is_header_done();
   error = {};
+  if (!had_header && HasMoreFieldsThan(Unparsed(buffer), max_fields)) {
+    error = http::error::header_limit;
+    return 0;
+  }
   while (buffer.size() > 0 && !parser.is_done() && !error) {
     buffer.consume(parser.put(buffer.data(), error));
     if (!had_header && parser.is_header_done()) break;
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -37,12 +37,15 @@
 
 // A request that is being read.
 struct IncomingRequest {
-  IncomingRequest() {
+  // `buffer` holds the input that is not parsed yet.
+  explicit IncomingRequest(const beast::flat_buffer& buffer) : trailer_limit(buffer, kMaxRequestFields) {
     parser.eager(false);  // stop after the header, which is checked before any of the body is parsed
     parser.header_limit(kMaxHeader);
     parser.body_limit(kMaxBody);
+    trailer_limit.Attach(parser);
   }
 
+  TrailerLimit<beast::flat_buffer> trailer_limit;
   http::request_parser<http::buffer_body> parser;
   std::string buffered_body;
   std::size_t body_received = 0;  // bytes of the body, buffered or streamed
@@ -56,7 +59,7 @@
  public:
   Session(Inbound& owner, Tcp::socket socket)
       : owner_(owner), socket_(std::move(socket)), timeout_start_(Clock::now()) {
-    incoming_.emplace();
+    incoming_.emplace(buffer_);
   }
 
   // Starts to read requests.
@@ -320,7 +323,8 @@
       const std::size_t before = buffer_.size();
       const std::size_t room = std::min(chunk.size(), kMaxBufferedBody - incoming_->buffered_body.size());
       ErrorCode error;
-      const std::size_t n = FeedParser(parser, buffer_, asio::buffer(chunk.data(), room), error);
+      const std::size_t n =
+          FeedParser(parser, buffer_, asio::buffer(chunk.data(), room), kMaxRequestFields, error);
       if (error) return Reject(RejectionFor(error));
       if (!had_header && parser.is_header_done() && !AcceptHeader()) return;
       incoming_->buffered_body.append(chunk.data(), n);
@@ -401,7 +405,7 @@
     if (state_ != State::kInProgress)
       return std::exchange(on_chunk_, nullptr)(asio::error::connection_aborted, 0, true);
     ErrorCode error;
-    const std::size_t n = FeedParser(incoming_->parser, buffer_, chunk_buffer_, error);
+    const std::size_t n = FeedParser(incoming_->parser, buffer_, chunk_buffer_, kMaxRequestFields, error);
     if (error) return AbortUpload(RejectionFor(error));
     incoming_->body_received += n;
     const bool over = incoming_->parser.is_done();
@@ -447,7 +451,7 @@
     if (!keep_alive_) return LingerAndClose();
     owner_.sessions_.splice(owner_.sessions_.end(), owner_.sessions_, position);
     EnterState(State::kReading);
-    incoming_.emplace();
+    incoming_.emplace(buffer_);
     head_only_ = false;
     Parse();
     if (state_ != State::kClosed) Read();
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -282,6 +282,7 @@
     parser_->eager(false);  // stops after the header, which is checked before the body is parsed
     parser_->header_limit(kMaxHeader);
     parser_->body_limit(kMaxBody);
+    trailer_limit_.Attach(*parser_);
   }
 
   // How much of the answer's body is buffered before it is forwarded. A body that is known to be small is
@@ -301,7 +302,8 @@
       const std::size_t before = buffer_.size();
       const std::size_t room = had_header ? std::min(chunk.size(), MaxBuffered() - buffered_body_.size()) : 0;
       ErrorCode error;
-      const std::size_t n = FeedParser(*parser_, buffer_, asio::buffer(chunk.data(), room), error);
+      const std::size_t n =
+          FeedParser(*parser_, buffer_, asio::buffer(chunk.data(), room), kMaxAnswerFields, error);
       if (error) return false;
       buffered_body_.append(chunk.data(), n);
       if (!had_header && parser_->is_header_done() && !TakeHeader()) return false;
@@ -382,7 +384,7 @@
     if (!on_chunk_) return;
     if (closed_) return std::exchange(on_chunk_, nullptr)(asio::error::connection_aborted, 0, true);
     ErrorCode error;
-    const std::size_t n = FeedParser(*parser_, buffer_, chunk_buffer_, error);
+    const std::size_t n = FeedParser(*parser_, buffer_, chunk_buffer_, kMaxAnswerFields, error);
     if (error) return AbortStreaming(error);
     if (n == 0 && !parser_->is_done()) return Read();
     const bool last = parser_->is_done();
@@ -465,6 +467,7 @@
   Tcp::socket socket_;
   asio::steady_timer timer_;  // for the dial, then for the stall check of a streamed body
   beast::flat_buffer buffer_{kMaxUnparsed};
+  TrailerLimit<beast::flat_buffer> trailer_limit_{buffer_, kMaxAnswerFields};
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::string buffered_body_;  // the buffered part of the answer's body
   std::optional<ActiveAttempt> attempt_;
--- a/src/net/validate.cpp
+++ b/src/net/validate.cpp
@@ -9,12 +9,12 @@
 #include <cmath>
 #include <iterator>
 
+#include "field_limit.hpp"
 #include "wire.hpp"
 
 namespace merlinrun::net {
 namespace {
 
-constexpr std::size_t kMaxFields = 64;
 constexpr std::size_t kMaxTargetSize = std::size_t{4} * 1024;
 constexpr std::size_t kMaxIdSize = 64;
 constexpr std::size_t kMaxIdempotencyKeySize = 128;
@@ -80,7 +80,7 @@
 
 std::optional<Rejection> CheckRequest(const RequestHeader& header) {
   const auto malformed = [](const char* text) { return Rejection{http::status::bad_request, text}; };
-  if (static_cast<std::size_t>(std::distance(header.begin(), header.end())) > kMaxFields)
+  if (static_cast<std::size_t>(std::distance(header.begin(), header.end())) > kMaxRequestFields)
     return Rejection{http::status::request_header_fields_too_large, "too many header fields\n"};
   if (!HasUnambiguousFraming(header)) return malformed("the body's length is in doubt\n");
   const auto length = ToStringView(header[http::field::content_length]);
--- a/tests/faults/process.hpp
+++ b/tests/faults/process.hpp
@@ -46,6 +46,7 @@
   void Signal(int signal) const {
     if (!status_) ::kill(pid_, signal);
   }
+  pid_t pid() const { return pid_; }
   // The wait status, if the process has ended.
   std::optional<int> PollExit() {
     int status = 0;
