Pipelined requests take at most one header of memory per connection

Now at most 8 kB are read ahead unless a body is expected: the longest header, which the parser needs as a whole. The rest waits in the kernel. No test failed before; MemoryLimitTest.Pipelined* guards the limit.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -287,7 +287,12 @@
   // parser leaves less than a header unparsed.
   std::size_t MaxRead() const {
     if (state_ == State::kLingering) return owner_.input_.size();
-    return std::min(owner_.input_.size(), buffer_.max_size() - buffer_.size());
+    const std::size_t limit = ExpectsBody() ? buffer_.max_size() : kMaxHeader;
+    return std::min(owner_.input_.size(), limit - std::min(limit, buffer_.size()));
+  }
+  // Whether the next input is part of a request's body; otherwise it is a header, or pipelined requests.
+  bool ExpectsBody() const {
+    return state_ == State::kReading ? incoming_->parser.is_header_done() : body_pending_;
   }
 
   void OnDisconnect() {
