A long answer has begun with its body, not with its header

The request had no final answer in its time, and none at all.

Cause: an answer with a length of over 64 KiB was taken for begun when its header had arrived (MaxBuffered was 0, so BeginStreaming followed at once). The attempt then counted as a success, the request's timer and its retries were given up, and the header waited in the writer for the first bytes of the body. The stall timeout of 4 s then reset the client.

Change: such an answer begins when the first byte of its body has arrived. Until then the attempt is in flight, with its timeout, and can be retried. A failure's body is not awaited, as before.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -272,7 +272,7 @@
     // An invalid answer counts as a lost one: the request may have run.
     if (!Parse()) return Fail(Result::kReset, FailureCause::kUnreadableAnswer);
     if (parser_->is_done()) return Complete();
-    if (parser_->is_header_done() && buffered_body_.size() >= MaxBuffered()) return BeginStreaming();
+    if (ReadyToStream()) return BeginStreaming();
     Read();
   }
 
@@ -285,13 +285,30 @@
     trailer_limit_.Attach(*parser_);
   }
 
-  // How much of the answer's body is buffered before it is forwarded. A body that is known to be small is
-  // buffered completely, so that its request can still be retried if the connection breaks. Of a body of
-  // unknown length only the first chunk is buffered, so that the answer is not delayed.
-  std::size_t MaxBuffered() const {
+  // Whether the answer's body is too large to be buffered completely, or may be.
+  bool IsStreamed() const {
     const auto length = parser_->content_length();
-    if (!length) return kChunkSize;
-    return *length > kMaxBufferedBody ? 0 : static_cast<std::size_t>(*length);
+    return !length || *length > kMaxBufferedBody;
+  }
+
+  // How much of the answer's body is buffered at most before it is forwarded. A body that is known to be
+  // small is buffered completely, so that its request can still be retried if the connection breaks.
+  std::size_t MaxBuffered() const {
+    return IsStreamed() ? kChunkSize : static_cast<std::size_t>(*parser_->content_length());
+  }
+
+  // How much of the body must have arrived before it is forwarded. The header of a long body alone is not
+  // forwarded: until the body has begun, the request can be retried, or answered in time with a failure. A
+  // body of unknown length may be a short one, so its first chunk is awaited. No body of a failure is
+  // forwarded.
+  std::size_t MinBuffered() const {
+    if (!parser_->content_length() || !IsStreamed()) return MaxBuffered();
+    return ResultOf(parser_->get()) == Result::kSuccess ? 1 : 0;
+  }
+
+  // Whether the body is forwarded from here on as it arrives.
+  bool ReadyToStream() const {
+    return parser_->is_header_done() && !parser_->is_done() && buffered_body_.size() >= MinBuffered();
   }
 
   // Parses what has been received. Returns false if the answer is invalid.
@@ -307,8 +324,7 @@
       if (error) return false;
       buffered_body_.append(chunk.data(), n);
       if (!had_header && parser_->is_header_done() && !TakeHeader()) return false;
-      if (parser_->is_header_done() && !parser_->is_done() && buffered_body_.size() >= MaxBuffered())
-        return true;
+      if (ReadyToStream()) return true;
       if (buffer_.size() == before) return true;  // more data is needed
     }
     return true;
@@ -323,10 +339,7 @@
       ResetParser();
       return true;
     }
-    const std::size_t max_buffered = MaxBuffered();
-    const auto length = parser_->content_length();
-    return reservation_.Reserve(
-        pool_.budget_, length && *length <= max_buffered ? max_buffered : max_buffered + kStreamingMemory);
+    return reservation_.Reserve(pool_.budget_, MaxBuffered() + (IsStreamed() ? kStreamingMemory : 0));
   }
 
   // The peer closed or reset the connection.
