A slow long answer of unknown length is no longer cut off at the deadline

Callers saw: a chunked answer, or one until the close, of 300 kB that its server writes at 15 or 25 kB a second was reset at the client's deadline of 2.5 s, after 36 to 63 kB, although its first bytes came in time and the server was still writing.

Cause: since an answer of unknown length that is not longer than 64 KiB by the deadline is taken for one that never ends.

Change: what tells the two apart is whether the server still sends. From 0.3 s after the deadline on, an answer that may still be short goes on while at least 4 KiB a second have come over the last 0.8 s, and fails otherwise.

Cost: a short answer that is still being written at the deadline at such a rate ends late instead of being cut off.

Tests: ShortAnswerTest.ALongOneThatIsWrittenSlowlyIsNotCutOff failed before, chunked and until the close.

--- a/src/net/short_answer_deadline.cpp
+++ b/src/net/short_answer_deadline.cpp
@@ -1,5 +1,6 @@
 #include "short_answer_deadline.hpp"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <utility>
@@ -11,7 +12,14 @@
 
 ShortAnswerDeadline::ShortAnswerDeadline(asio::io_context& io, BodySourcePtr source, std::size_t received,
                                          Micros time_left)
-    : source_(std::move(source)), timer_(io), received_(received), time_left_(time_left) {}
+    : source_(std::move(source)), timer_(io), received_(received), rate_interval_(0) {
+  const microseconds until_judged = microseconds(std::max<Micros>(time_left, 0)) + kGrace;
+  if (until_judged <= kRateInterval) {
+    MeasureRate(until_judged);
+  } else {
+    time_left_ = until_judged - kRateInterval;
+  }
+}
 
 void ShortAnswerDeadline::ReadSome(asio::mutable_buffer into, ReadHandler handler) {
   handler_ = std::move(handler);
@@ -45,9 +53,23 @@
   std::exchange(handler_, nullptr)(error, n, last);
 }
 
+void ShortAnswerDeadline::MeasureRate(microseconds interval) {
+  time_left_ = rate_interval_ = interval;
+  received_before_interval_ = received_;
+}
+
+bool ShortAnswerDeadline::FastEnough() const {
+  const double seconds = std::chrono::duration<double>(rate_interval_).count();
+  return static_cast<double>(received_ - received_before_interval_) >= kMinRate * seconds;
+}
+
 void ShortAnswerDeadline::OnTimeout() {
   // The timer may have expired in the same event loop iteration in which a chunk arrived.
   if (!handler_ || !MayBeShort() || timer_.expiry() > Clock::now()) return;
+  if (rate_interval_ == microseconds(0) || FastEnough()) {
+    MeasureRate(kRateInterval);
+    return StartTimer();
+  }
   std::exchange(source_, nullptr)->Stop();
   std::exchange(handler_, nullptr)(asio::error::timed_out, 0, true);
 }
--- a/tests/net/short_answer_test.cpp
+++ b/tests/net/short_answer_test.cpp
@@ -41,6 +41,23 @@
       peer.Close();
     });
   }
+  // A server that writes an answer of `size` bytes in pieces of this size, one in each kInterval.
+  std::function<void(Peer&)> WritesSlowly(std::size_t size, std::size_t piece) {
+    return [this, size, piece](Peer& peer) {
+      peer.Write(Head());
+      WritePieces(peer, size, piece);
+    };
+  }
+  void WritePieces(Peer& peer, std::size_t left, std::size_t piece) {
+    timer.expires_after(kInterval);
+    timer.async_wait([this, &peer, left, piece](ErrorCode error) {
+      if (error || peer.ended) return;
+      peer.Write(Piece(std::min(piece, left)));
+      if (left > piece) return WritePieces(peer, left - piece, piece);
+      if (chunked()) return peer.Write("0\r\n\r\n");
+      peer.Close();
+    });
+  }
   // A server whose answers begin with a piece of this size, followed by `count` small ones.
   std::function<void(Peer&)> Answers(std::size_t first, int count) {
     return [this, first, count](Peer& peer) {
@@ -79,6 +96,39 @@
   EXPECT_TRUE(RunUntil(io, [&] { return sidecar->counters().classes()[0].served == 1; }));
 }
 
+// Guards against long answers that were cut off at the client's deadline although their server was still
+// writing them: they counted as short ones that never end, because less than 64 KiB had come by then.
+TEST_P(ShortAnswerTest, ALongOneThatIsWrittenSlowlyIsNotCutOff) {
+  constexpr std::size_t kSize = 100'000;
+  ScriptedServer server(io, WritesSlowly(kSize, 3000));  // 30 kB a second
+  Start({Entry("s-1", server.address)});
+  const auto client = Client(GetWithDeadline("1.0", "a"));
+  EXPECT_TRUE(RunUntil(
+      io, [&] { return client->ended || client->received.find("\r\n0\r\n\r\n") != std::string::npos; }));
+  EXPECT_EQ(std::count(client->received.begin(), client->received.end(), 'x'),
+            static_cast<std::ptrdiff_t>(kSize));
+  EXPECT_TRUE(RunUntil(io, [&] { return sidecar->counters().classes()[0].served == 1; }));
+}
+
+// One that is written slowly at first and then hardly at all is not waited for.
+TEST_P(ShortAnswerTest, OneThatSlowsDownToATrickleIsCutOff) {
+  ScriptedServer server(io, [this](Peer& peer) {
+    peer.Write(Head());
+    WritePieces(peer, 40'000, 3000);  // for 1.4 s
+    peer.on_data = nullptr;
+  });
+  Start({Entry("s-1", server.address)});
+  const auto client = Client(GetWithDeadline("1.0", "a"));
+  ASSERT_EQ(Status(*client), "200");
+  ASSERT_TRUE(RunUntil(io, [&] {
+    return std::count(client->received.begin(), client->received.end(), 'x') >= 39'000 || client->ended;
+  }));
+  Continue(*server.peers[0], 1'000'000);
+  const auto trickles_from = Clock::now();
+  EXPECT_TRUE(RunUntil(io, [&] { return client->ended; }));
+  EXPECT_LE(Clock::now() - trickles_from, 2 * ShortAnswerDeadline::kRateInterval + kAnswerTolerance);
+}
+
 INSTANTIATE_TEST_SUITE_P(UntilTheCloseOrChunked, ShortAnswerTest, ::testing::Bool());
 
 // A source that delivers one byte for each read, at once.
