A long answer is not cut off while its client reads it slowly

Cause: only a completed write counted as progress of the client. The kernel's send buffer holds megabytes and takes more only when about a third of them has been read, which lasts longer than answer_timeout at this rate.

Change: the client makes progress when its kernel has acknowledged another chunk of 16 KiB (SIOCOUTQ).

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -87,8 +87,13 @@
   bool AnswerInTransit(Clock::time_point now) const {
     if (state_ != State::kReading && state_ != State::kLingering) return false;
     if (TimedOut(now, owner_.limits_.answer_timeout)) return false;
-    int unsent = 0;
-    return ::ioctl(const_cast<Tcp::socket&>(socket_).native_handle(), SIOCOUTQ, &unsent) == 0 && unsent > 0;
+    return UnacknowledgedBytes() > 0;
+  }
+  // What has been written and the client's kernel has not acknowledged, in bytes; 0 if that is not known.
+  std::size_t UnacknowledgedBytes() const {
+    int bytes = 0;
+    const int failed = ::ioctl(const_cast<Tcp::socket&>(socket_).native_handle(), SIOCOUTQ, &bytes);
+    return failed != 0 || bytes < 0 ? 0 : static_cast<std::size_t>(bytes);
   }
   // Whether the client has sent a request, or part of one, and has not received its complete answer.
   bool AwaitsAnswer(Clock::time_point now) const { return AnswerInTransit(now) || (!Lingering() && !Idle()); }
@@ -105,6 +110,7 @@
       return;
     }
     EnterState(State::kWriting);
+    unacknowledged_before_ = 0;
     // Whatever has not arrived of the request's body is discarded from now on.
     const bool body_unread = std::exchange(body_pending_, false);
     max_lingering_bytes_ = body_unread ? kMaxBody : kMaxLingeringBytes;
@@ -179,6 +185,7 @@
           AbortUpload(RequestTimeout());
         return;
       case State::kWriting:
+        if (streams_answer_ && ClientTakesAnswer()) timeout_start_ = now;
         if (!(streams_answer_ && writer_ != nullptr && writer_->waiting_for_source()) &&
             TimedOut(now, limits.answer_timeout))
           Close();
@@ -191,6 +198,16 @@
     }
   }
 
+  // Whether the client has taken another chunk of its answer since the last call that returned true. A write
+  // that completes is no measure of this: the kernel's buffer may hold megabytes, and takes more only when a
+  // large part of them has been read.
+  bool ClientTakesAnswer() {
+    const std::size_t bytes = UnacknowledgedBytes();
+    const bool taken = bytes + kChunkSize <= unacknowledged_before_;
+    unacknowledged_before_ = taken ? bytes : std::max(bytes, unacknowledged_before_);
+    return taken;
+  }
+
   // Closes the connection and removes the session from the owner's list.
   void Close() {
     if (state_ == State::kClosed) return;
@@ -489,6 +506,7 @@
   Clock::time_point incomplete_at_;    // the request was incomplete then; not known for later times
   std::size_t lingered_bytes_ = 0;     // input discarded while the connection is being closed
   std::size_t max_lingering_bytes_ = kMaxLingeringBytes;
+  std::size_t unacknowledged_before_ = 0;  // see ClientTakesAnswer
   unsigned version_ = 11;
   bool body_pending_ = false;    // some of the request's body has not arrived
   bool awaits_client_ = false;   // more of the body is read as soon as the client sends it
--- a/tests/net/inbound_test.cpp
+++ b/tests/net/inbound_test.cpp
@@ -101,6 +101,60 @@
   EXPECT_TRUE(RunUntil(io, [&] { return inbound->sessions() == 0; }));
 }
 
+// A body of `size` bytes that is always available.
+class AvailableBody : public BodySource {
+ public:
+  AvailableBody(asio::io_context& io, std::size_t size) : io_(io), left_(size) {}
+  void ReadSome(asio::mutable_buffer into, ReadHandler handler) override {
+    const std::size_t n = std::min(into.size(), left_);
+    std::fill_n(static_cast<char*>(into.data()), n, 'x');
+    left_ -= n;
+    asio::post(io_, [handler = std::move(handler), n, last = left_ == 0] { handler({}, n, last); });
+  }
+  void Stop() override {}
+
+ private:
+  asio::io_context& io_;
+  std::size_t left_;
+};
+
+// Guards against long answers that were cut off while their client read them, but slowly: the kernel takes
+// more of an answer only when the client has read a large part of its buffer, and nothing else counted as
+// progress.
+TEST_F(InboundTest, ALongAnswerIsNotCutOffWhileItsClientReadsItSlowly) {
+  limits.answer_timeout = 500'000;
+  constexpr std::size_t kSize = 24U << 20;
+  Inbound::Events events;
+  events.on_request = [&](const Inbound::SessionPtr& session, Message<true>) {
+    Inbound::Reply reply;
+    reply.message.head.result(http::status::ok);
+    reply.message.length = kSize;
+    reply.message.remaining = std::make_shared<AvailableBody>(io, kSize);
+    Inbound::Respond(session, std::move(reply));
+  };
+  inbound = std::make_unique<Inbound>(io, Loopback(), inherited, limits, budget, std::move(events));
+  Tcp::socket client(io);
+  client.connect(inbound->address());
+  asio::write(client, asio::buffer(Get("r1")));
+  // 1 MB a second: a third of what the kernel holds, some megabytes, takes several times the timeout.
+  std::vector<char> piece(50'000);
+  std::size_t received = 0;
+  ErrorCode error;
+  client.non_blocking(true);
+  for (int i = 0; i < 100; ++i) {
+    RunFor(io, 50ms);
+    received += client.read_some(asio::buffer(piece), error);
+    if (error == asio::error::would_block) error = {};
+  }
+  EXPECT_FALSE(error) << error.message();
+  EXPECT_TRUE(RunUntil(io, [&] {
+    for (std::size_t n = 1; n > 0 && !error; received += n) n = client.read_some(asio::buffer(piece), error);
+    if (error == asio::error::would_block) error = {};
+    return received >= kSize || error;
+  }));
+  EXPECT_GE(received, kSize);
+}
+
 // Silent connections once used up the connection limit, until no more connections were accepted.
 TEST_F(InboundTest, ClosesSilentConnectionsToServeNewOnes) {
   limits.max_sessions = 4;
