A long answer is not cut off while its server hangs for some seconds

Cause: the stall timeout of 4 s, also for answers.

Change: a streamed answer is given up after 30 s without a byte. Its memory and connection are not held at the expense of others: when the memory budget or the connections run short, the answer that has stalled for longest, and for 4 s at least, is given up (MemoryBudget::SetReclaimer). During a shutdown 4 s apply as before, since the process may be killed by then. The timeout of requests' bodies is unchanged: their clients have a deadline.

Cost: the client of an answer whose server never goes on is told after 30 s instead of 4 s.

--- a/src/net/budget.hpp
+++ b/src/net/budget.hpp
@@ -3,6 +3,7 @@
 #define MERLINRUN_NET_BUDGET_HPP_
 
 #include <cstddef>
+#include <functional>
 #include <utility>
 
 namespace merlinrun::net {
@@ -17,11 +18,17 @@
   std::size_t reserved() const { return reserved_; }
   // Changes the limit. Existing reservations stay valid even if they exceed a lower limit.
   void SetLimit(std::size_t limit) { limit_ = limit; }
+  // Sets a function that is called when a reservation does not fit. It gives up the use of memory that
+  // matters least, which releases its reservation at once, and returns false if there is none to give up.
+  void SetReclaimer(std::function<bool()> reclaim) { reclaim_ = std::move(reclaim); }
 
  private:
   friend class MemoryReservation;
+  bool HasRoomFor(std::size_t size) const { return reserved_ <= limit_ && size <= limit_ - reserved_; }
+
   std::size_t limit_;
   std::size_t reserved_ = 0;
+  std::function<bool()> reclaim_;
 };
 
 // A reservation of part of the memory limit, released by its destructor. Movable, not copyable.
@@ -44,7 +51,8 @@
   // the limit leaves less than that.
   bool Reserve(MemoryBudget& budget, std::size_t size) {
     *this = MemoryReservation();
-    if (budget.reserved_ > budget.limit_ || size > budget.limit_ - budget.reserved_) return false;
+    while (!budget.HasRoomFor(size))
+      if (!budget.reclaim_ || !budget.reclaim_()) return false;
     budget_ = &budget;
     budget_->reserved_ += size_ = size;
     return true;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -565,6 +565,7 @@
 
 void Sidecar::Drain(std::function<void()> on_drained) {
   if (shutdown_ != nullptr) return;
+  upstream_.BeginShutdown();
   GracefulShutdown::Settings settings;
   settings.shared_listener = config_.accept_fd.has_value();
   for (const RequestClass& c : config_.wire.settings.classes)
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -152,6 +152,12 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
+  // For how long the server has not written any of the answer that is being streamed, although more is
+  // awaited.
+  Micros StalledFor() const { return on_chunk_ == nullptr ? 0 : Since(last_progress_); }
+  // Aborts the answer that is being streamed, because of a stall.
+  void AbortStalled() { AbortStreaming(asio::error::timed_out); }
+
   bool Current() const { return server_->Available() && server_->incarnation == incarnation_; }
   Server& server() { return *server_; }
   Clock::time_point idle_since;
@@ -232,6 +238,10 @@
     if (!closed_ && abort_cause_) FailReset();
   }
 
+  Micros StallTimeout() const {
+    return streaming_ ? pool_.limits_.answer_stall_timeout : pool_.limits_.stall_timeout;
+  }
+
   // Checks periodically whether a body still makes progress, so that the attempt ends if the server stops
   // reading a request or writing an answer but keeps the connection open.
   void ScheduleStallCheck() {
@@ -241,7 +251,7 @@
       const bool servers_turn =
           self->writing_ ? !self->writer_->waiting_for_source() : self->on_chunk_ != nullptr;
       if (!servers_turn) self->last_progress_ = Clock::now();
-      if (Since(self->last_progress_) < self->pool_.limits_.stall_timeout) return self->ScheduleStallCheck();
+      if (Since(self->last_progress_) < self->StallTimeout()) return self->ScheduleStallCheck();
       if (self->streaming_) return self->AbortStreaming(asio::error::timed_out);
       self->Fail(Result::kUnreachable, FailureCause::kRequestCutOff);
     });
@@ -382,6 +392,7 @@
     const Result result = ResultOf(parser_->get());
     if (result != Result::kSuccess) return Finish(result, /*reuse=*/false);
     streaming_ = true;
+    pool_.streaming_.insert(this);
     UpstreamAnswer answer = TakeAnswer(result);
     answer.message.remaining = shared_from_this();
     if (const auto length = parser_->content_length()) answer.message.length = *length;
@@ -415,6 +426,7 @@
     const auto self = shared_from_this();
     const bool reuse = Reusable();
     streaming_ = false;
+    pool_.streaming_.erase(this);
     timer_.cancel();
     parser_.reset();
     if (!reuse) return Close();
@@ -502,9 +514,12 @@
 };
 
 Upstream::Upstream(asio::io_context& io, Limits limits, MemoryBudget& budget, Counters& counters)
-    : io_(io), limits_(limits), budget_(budget), counters_(counters), sweep_timer_(io), log_timer_(io) {}
+    : io_(io), limits_(limits), budget_(budget), counters_(counters), sweep_timer_(io), log_timer_(io) {
+  budget_.SetReclaimer([this] { return AbortStalledAnswer(); });
+}
 
 Upstream::~Upstream() {
+  budget_.SetReclaimer(nullptr);
   for (const auto& [id, connection] : attempts_)
     if (connection != nullptr) connection->Abandon();
   for (const auto& [id, server] : servers_) {
@@ -577,7 +592,7 @@
     return attempt;
   }
   if (open_connections_ >= std::min(limits_.soft_limit, limits_.max_connections) && !EvictIdle() &&
-      open_connections_ >= limits_.max_connections) {
+      open_connections_ >= limits_.max_connections && !AbortStalledAnswer()) {
     CountFailure(FailureCause::kConnectionLimit, id);
     return FailLater(std::move(events.done));
   }
@@ -630,6 +645,15 @@
   return nullptr;
 }
 
+bool Upstream::AbortStalledAnswer() {
+  const auto longest = std::max_element(
+      streaming_.begin(), streaming_.end(),
+      [](const Connection* a, const Connection* b) { return a->StalledFor() < b->StalledFor(); });
+  if (longest == streaming_.end() || (*longest)->StalledFor() < limits_.stall_timeout) return false;
+  (*longest)->AbortStalled();
+  return true;
+}
+
 // Closes the connection that has been idle longest. Returns false if none is idle.
 bool Upstream::EvictIdle() {
   Server* oldest = nullptr;
@@ -658,6 +682,7 @@
 
 // Removes a closed connection from the pool.
 void Upstream::Remove(const Connection& connection) {
+  streaming_.erase(const_cast<Connection*>(&connection));
   --open_connections_;
   auto& idle = const_cast<Connection&>(connection).server().idle;
   const auto same = [&](const ConnectionPtr& other) { return other.get() == &connection; };
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -53,8 +53,12 @@
     // An idle connection is reused only after this time. By then any surplus data that the server sent after
     // its last answer has arrived, and shows that the connection must not be reused.
     Micros reuse_delay = 25'000;
-    // A body transfer that the server has not advanced for this time is aborted.
+    // A request's body that the server has not read any of for this time is aborted.
     Micros stall_timeout = 4'000'000;
+    // The same for a streamed answer that the server has not written any of. It is longer than servers hang
+    // before they go on. If memory or connections run short, or the process shuts down, stall_timeout
+    // applies.
+    Micros answer_stall_timeout = 30'000'000;
     std::size_t max_connections = 512;
     // With this many connections open, an idle one is closed before a new one is opened.
     std::size_t soft_limit = SIZE_MAX;
@@ -82,6 +86,9 @@
   // request is known to have been written.
   void AbortRequest(AttemptId attempt);
 
+  // The process is about to end: from now on streamed answers are aborted after Limits::stall_timeout.
+  void BeginShutdown() { limits_.answer_stall_timeout = limits_.stall_timeout; }
+
   // Changes Limits::soft_limit and closes idle connections above it.
   void SetSoftLimit(std::size_t connections);
 
@@ -113,6 +120,8 @@
   void Update(Server& server, const Endpoint& endpoint) const;
   ConnectionPtr TakeIdle(Server& server);
   bool EvictIdle();
+  // Aborts the streamed answer that has been stalled for longest, if for Limits::stall_timeout at least.
+  bool AbortStalledAnswer();
   AttemptId FailLater(Done done);
   void Release(const ConnectionPtr& connection);
   void Remove(const Connection& connection);
@@ -131,6 +140,7 @@
   std::size_t open_connections_ = 0;
   AttemptId last_attempt_ = 0;
   std::unordered_map<std::string, std::shared_ptr<Server>> servers_;
+  std::set<Connection*> streaming_;   // connections whose answer is being streamed
   std::set<std::string> admin_down_;  // servers
   asio::steady_timer log_timer_;
   // Counts since the last log line.
