Attempts with too little time for an answer are no sign of overload

Callers saw: while one client sent requests with a deadline of 1 ms on one connection at full speed, 590 of 621 requests of other clients were refused with 503, with idle servers (loopback, 4 s).

Cause: each attempt that timed out counted as an answer at the highest latency ratio, whatever time it had been given, and lowered the admission of all (log: "admission 0.37", 1,114 failed after a timeout). It also counted as a failure of the server.

Change: a timeout before an answer was to be expected, by the class's usual answer time or the pool's where the class has none, and before the latency target, says nothing of the server or of the load, and changes no statistics. Timeouts after that count as before.

Ruled out by the same runs, one flooding connection for 4 s each: GET and HEAD of /ready, malformed requests, unknown classes under ever new names, valid requests under ever new ids, keys and owners, chunks of one byte.

Test: BalancerTest.AttemptsWithTooLittleTimeForAnAnswerDoNotLowerAdmission; before, 4 of 100 were sent.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -295,8 +295,10 @@
     if (outcome.result == Result::kSuccess && still_listed) CountServed(pools_[attempt.server->pool]);
     if (Answered(outcome.result)) attempt.server->last_answer_at = now_;
     if (outcome.load.cpu) attempt.server->cores_busy = *outcome.load.cpu >= kBusyCpuShare;
-    UpdateServerStatistics(request, *attempt.server, attempt.sent, outcome);
-    if (!attempt.overload_counted) UpdateAdmission(request, *attempt.server, outcome);
+    if (!EndedTooEarlyToTell(request, outcome)) {
+      UpdateServerStatistics(request, *attempt.server, attempt.sent, outcome);
+      if (!attempt.overload_counted) UpdateAdmission(request, *attempt.server, outcome);
+    }
     if (outcome.result == Result::kTimeout || outcome.result == Result::kReset ||
         outcome.result == Result::kCancelled)
       request.key_blocked_until = now_ + settings_.settle_after_doubt;
@@ -593,6 +595,22 @@
     MaybeEject(*attempt.server, attempt.sent);
   }
 
+  // The latency target of a request's class, in microseconds, at least 1.
+  double LatencyTarget(const PendingRequest& request) const {
+    return static_cast<double>(std::max<Micros>(ClassOf(request).latency_target, 1));
+  }
+
+  // Whether an attempt timed out before an answer was to be expected. It shows that its client left it little
+  // time, and nothing of the server or of the load: a client with many such requests must not have those of
+  // others refused.
+  bool EndedTooEarlyToTell(const PendingRequest& request, const Outcome& outcome) const {
+    if (outcome.result != Result::kTimeout) return false;
+    const FadingMean& of_class = class_loads_[request.request_class].answer_time;
+    const Pool& pool = pools_[request.attempts[static_cast<std::size_t>(outcome.attempt)].server->pool];
+    const double usual = of_class.value > 0 ? of_class.value * request.relative_work : pool.answer_time.value;
+    return static_cast<double>(outcome.elapsed) < std::min(usual, LatencyTarget(request));
+  }
+
   // Updates the admission of the pool by an outcome.
   void UpdateAdmission(const PendingRequest& request, const Server& server, const Outcome& outcome) {
     Pool& pool = pools_[server.pool];
@@ -602,8 +620,8 @@
     // each one outweighs ten good answers. An overload without more attempts in flight than usual still shows
     // in the other answers.
     if (outcome.result == Result::kTimeout && (pool.concurrency_limited || !server.cores_busy)) return;
-    const double latency_target = static_cast<double>(std::max<Micros>(ClassOf(request).latency_target, 1));
-    double latency_ratio = std::min(static_cast<double>(outcome.elapsed) / latency_target, kMaxLatencyRatio);
+    double latency_ratio =
+        std::min(static_cast<double>(outcome.elapsed) / LatencyTarget(request), kMaxLatencyRatio);
     if (outcome.result == Result::kSuccess) {
       ClassLoad& load = class_loads_[request.request_class];
       pool.answer_time.Add(static_cast<double>(outcome.elapsed), kArrivalMemory);
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -931,6 +931,27 @@
   EXPECT_LT(sent[true], 30);
 }
 
+// Guards against refusals of other clients' requests while one client sends many with hardly any time left:
+// each attempt that timed out at once counted as a sign of overload.
+TEST_F(BalancerTest, AttemptsWithTooLittleTimeForAnAnswerDoNotLowerAdmission) {
+  Start(MakeSettings(), 10);
+  for (int i = 0; i < 30; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    Deliver(id, 2);
+    balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, 200 * kMs, true, {}});
+  }
+  sink_.Take();
+  for (int i = 0; i < 300; ++i) {
+    const std::string id = "short" + std::to_string(i);
+    if (Arrive(id, 3, 1 * kMs)[0].kind == Kind::kSend)
+      balancer_->OnOutcome(now_, {id, 0, Result::kTimeout, 1 * kMs, false, {}});
+  }
+  sink_.Take();
+  int sent = 0;
+  for (int i = 0; i < 100; ++i) sent += Arrive("z" + std::to_string(i), 2)[0].kind == Kind::kSend;
+  EXPECT_EQ(sent, 100);
+}
+
 // When nearly everything is refused, a single fast answer proves little. Admitting everything after it would
 // overload servers that still have to recover.
 TEST_F(BalancerTest, OneFastAnswerDoesNotRestoreFullAdmission) {
