No attempt starts for a client whose close may be stuck behind unread input

Servers saw: a request was sent 0.65, 1.30, 2.11 and 3.20 s after its client had closed the connection (four retries of a request whose servers reset it). The client had sent 400 kB of requests behind it.

Cause: while a request is in progress only part of what follows is read. Once the receive window is full, the client's kernel keeps the rest back, and with it the close: neither EOF nor POLLRDHUP can show it. Such a client looked like one that waits.

Change: if nothing has come from the client for 50 ms and an eighth of the receive buffer, 16 KiB at least, is unread, the client may have left, and no attempt starts; the request is refused as one that was not sent. The window is at least half of the buffer less what small segments waste, so with less unread the close would have arrived.

Cost: no retry, and no late first attempt, for clients that pipeline more than 16 kB; they are refused with 503.

Ruled out: pipelined requests and uploads (0.4 to 20 MB) of clients that leave by FIN or reset while a server answers.

Test: ClientDisconnectTest.DropsARetryIfTheCloseMayBeStuckBehindUnreadInput failed before.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -32,6 +32,15 @@
 // The kernel of a client may hold this much of what the client has sent: twice the maximum that Linux sets by
 // default.
 constexpr std::size_t kMaxClientSendBuffer = std::size_t{8} << 20;
+// A client that has left is noticed only when all that it sent before has arrived here. Once the kernel holds
+// this part of its receive buffer unread, the client's kernel may have to keep the rest back, and the close
+// with it. The window that it advertises is at least half of the buffer, less what small segments waste.
+constexpr std::size_t kMaxUnreadFraction = 8;
+// The same where the size of the receive buffer is not known or small, in bytes.
+constexpr std::size_t kMinUnread = std::size_t{16} * 1024;
+// For how long a client counts as present after something has arrived from it. An attempt must not begin
+// later than 0.1 s after its client has left.
+constexpr auto kPresenceTime = std::chrono::milliseconds(50);
 // Maximum number of connections above the limit that are open at once to be answered with 503.
 constexpr std::size_t kMaxRejectedSessions = 8;
 
@@ -154,6 +163,17 @@
            (fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
   }
 
+  // See Inbound::ClientMayHaveLeft.
+  bool MayHaveLeft() const {
+    // A body that is still being received stays unread for as long as no attempt takes it.
+    if (body_pending_ || Clock::now() - present_at_ < kPresenceTime) return false;
+    ErrorCode error;
+    asio::socket_base::receive_buffer_size capacity;
+    socket_.get_option(capacity, error);
+    const auto buffer_size = static_cast<std::size_t>(error ? 0 : std::max(capacity.value(), 0));
+    return socket_.available(error) >= std::max(buffer_size / kMaxUnreadFraction, kMinUnread);
+  }
+
   // See Inbound::RequestIncompleteAt.
   Clock::time_point RequestIncompleteAt() {
     UpdateIncompleteAt();
@@ -296,6 +316,7 @@
     if (!error) n = socket_.read_some(asio::buffer(owner_.input_, MaxRead()), error);
     if (error == asio::error::would_block || error == asio::error::try_again) return Read();
     if (error) return OnDisconnect();
+    present_at_ = Clock::now();
     OnInput(n);
     if (state_ != State::kClosed) Read();
   }
@@ -412,7 +433,7 @@
       request.buffered = std::make_shared<const std::string>(std::move(incoming_->buffered_body));
     incoming_->buffered_body = {};
     if (body_pending_) request.remaining = shared_from_this();
-    chunk_passed_at_ = incomplete_at_ = Clock::now();
+    chunk_passed_at_ = incomplete_at_ = present_at_ = Clock::now();
     try {
       owner_.events_.on_request(shared_from_this(), std::move(request));
     } catch (const std::exception&) {
@@ -504,6 +525,7 @@
   ReadHandler on_chunk_;               // ... and its callback; null if no read is pending
   Clock::time_point chunk_passed_at_;  // when the last chunk of the body was handed over
   Clock::time_point incomplete_at_;    // the request was incomplete then; not known for later times
+  Clock::time_point present_at_;       // when something was read from the client, or its request dispatched
   std::size_t lingered_bytes_ = 0;     // input discarded while the connection is being closed
   std::size_t max_lingering_bytes_ = kMaxLingeringBytes;
   std::size_t unacknowledged_before_ = 0;  // see ClientTakesAnswer
@@ -554,6 +576,8 @@
   return true;
 }
 
+bool Inbound::ClientMayHaveLeft(const SessionPtr& session) { return session->MayHaveLeft(); }
+
 Clock::time_point Inbound::RequestIncompleteAt(const SessionPtr& session) {
   return session->RequestIncompleteAt();
 }
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -92,6 +92,10 @@
   // Whether the client of the session's request has closed its connection. If so, on_client_disconnected is
   // called soon after.
   static bool ClientDisconnected(const SessionPtr& session);
+  // Whether the client of the session's request may have closed its connection without a way to notice it,
+  // because so much of what it has sent behind the request is unread. Never so for a client that sends one
+  // request at a time.
+  static bool ClientMayHaveLeft(const SessionPtr& session);
   // The latest time, as far as it is known, at which the client of the session's request cannot have sent its
   // last byte yet. The client's time runs from then on at the earliest: the rest of the request may have been
   // in the buffers of the kernel since.
--- a/src/net/pending_requests.cpp
+++ b/src/net/pending_requests.cpp
@@ -11,7 +11,7 @@
 }
 
 bool PendingRequest::ClientIsWaiting() const {
-  return session != nullptr && !Inbound::ClientDisconnected(session);
+  return session != nullptr && !Inbound::ClientDisconnected(session) && !Inbound::ClientMayHaveLeft(session);
 }
 
 Micros PendingRequest::NextExpiry() const {
--- a/src/net/pending_requests.hpp
+++ b/src/net/pending_requests.hpp
@@ -48,7 +48,7 @@
   std::unique_ptr<asio::steady_timer> timer;
 
   bool HasAttemptInFlight() const;
-  // Whether the client is still waiting for the answer; if not, no attempt is started. The socket is checked
+  // Whether the client is known to wait for the answer; if not, no attempt is started. The socket is checked
   // too: the client may have disconnected while its request waited (in the accept queue, behind another
   // request, for a retry or for a connection) without the event loop having noticed yet.
   bool ClientIsWaiting() const;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -428,7 +428,7 @@
 }
 
 const char* Sidecar::NotSentReason(const PendingRequest& pending) {
-  if (!pending.ClientIsWaiting()) return "client disconnected";
+  if (!pending.ClientIsWaiting()) return "client disconnected, or may have";
   return pending.body_consumed ? "body consumed" : "out of time";
 }
 
--- a/tests/net/client_disconnect_test.cpp
+++ b/tests/net/client_disconnect_test.cpp
@@ -221,6 +221,39 @@
   EXPECT_EQ(server.requests(), 2);
 }
 
+// Guards against retries for clients that had left unnoticed. What such a client had sent behind its request
+// filled the sidecar's receive window, so its close waited in its own kernel behind the rest.
+TEST_F(ClientDisconnectTest, DropsARetryIfTheCloseMayBeStuckBehindUnreadInput) {
+  ScriptedServer server(io);
+  Start({Entry("s-1", server.address)});
+  std::string text = Get("abandoned");
+  while (text.size() < 600'000) text += Get("behind-" + std::to_string(text.size()));
+  const auto client = Connect(io, sidecar->address());
+  client->WriteAsync(text);
+  ASSERT_TRUE(RunUntil(io, [&] { return client->written && server.requests() == 1; }));
+  client->Close();
+  const auto left_at = std::chrono::steady_clock::now();
+  RunFor(io, 150ms);
+  std::optional<std::chrono::steady_clock::time_point> sent_again_at;
+  server.on_data = [&](Peer&) { sent_again_at = std::chrono::steady_clock::now(); };
+  server.peers[0]->Write(Reply("503 Service Unavailable", "", "Srv-Declined: 1\r\nConnection: close\r\n"));
+  ASSERT_TRUE(RunUntil(io, [&] { return sidecar->pending_requests() == 0 || sent_again_at; }));
+  EXPECT_FALSE(sent_again_at) << std::chrono::duration<double>(*sent_again_at - left_at).count();
+  EXPECT_EQ(server.requests(), 1);
+}
+
+// A client that sends one request at a time is retried for, however long it waits.
+TEST_F(ClientDisconnectTest, RetriesForAClientThatIsSilentButConnected) {
+  ScriptedServer server(io);
+  Start({Entry("s-1", server.address)});
+  const auto client = Client(Get("stays"));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  RunFor(io, 300ms);
+  server.on_data = Serves("ok");
+  server.peers[0]->Write(Reply("503 Service Unavailable", "", "Srv-Declined: 1\r\nConnection: close\r\n"));
+  EXPECT_EQ(Status(*client), "200");
+}
+
 // The clients connect, send their requests and disconnect before the sidecar accepts their connections. The
 // kernel may discard what was received on a connection that has been reset.
 TEST_F(ClientDisconnectTest, DropsRequestsThatAreReadAfterTheDisconnect) {
