A request id that may have run is not sent again, in either process of an upgrade

Cause: an id was in use only as long as its request was kept in memory, and only in one process.

Change: RecentRequests records each id before its first attempt, and removes it if every attempt surely never ran.

Not taken: telling the other process by messages, which would come too late for an id that follows at once.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -184,6 +184,13 @@
   kNeverSent,
 };
 
+// Whether a result proves that the attempt never ran. Some servers also refuse requests that they have begun
+// (Settings::refused_may_have_run); their refusal proves nothing.
+constexpr bool ProvesNeverRan(Result result, bool refused_may_have_run) {
+  return (result == Result::kRefused && !refused_may_have_run) || result == Result::kUnreachable ||
+         result == Result::kNeverSent;
+}
+
 // The load that a server reports of itself: delayed and noisy. A value that was not reported is absent, not
 // 0.
 struct LoadReport {
--- a/src/net/shared_dir.cpp
+++ b/src/net/shared_dir.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view kAdminDownPrefix = "out.";
 constexpr std::string_view kTemporaryPrefix = "new.";
 constexpr std::string_view kHandoverName = "learnt";
+constexpr std::string_view kRecentRequestsName = "requests";
 constexpr std::size_t kMaxHandoverSize = std::size_t{256} * 1024;
 constexpr std::size_t kMaxReported = 32;  // file names that are logged as not understood
 constexpr std::size_t kMaxRecordSize = 256;
@@ -129,6 +130,10 @@
   return path_.empty() ? "" : ReadUpTo(path_ + "/" + std::string(kHandoverName), kMaxHandoverSize);
 }
 
+std::string SharedDir::RecentRequestsFile() const {
+  return path_.empty() ? "" : path_ + "/" + std::string(kRecentRequestsName);
+}
+
 bool SharedDir::ClearAdminDown(const std::string& server) {
   if (path_.empty()) return false;
   return ::unlink((path_ + "/" + RecordFileName(server)).c_str()) == 0 || errno == ENOENT;
@@ -147,7 +152,9 @@
   contents.readable = true;
   while (const dirent* entry = ::readdir(dir.get())) {
     const std::string name = entry->d_name;
-    if (name == "." || name == ".." || name == kHandoverName || StartsWith(name, kTemporaryPrefix)) continue;
+    if (name == "." || name == ".." || name == kHandoverName || name == kRecentRequestsName ||
+        StartsWith(name, kTemporaryPrefix))
+      continue;
     if (StartsWith(name, kPresencePrefix)) {
       if (name != presence_name_)
         contents.other_process_alive = ProbePresence(name) || contents.other_process_alive;
--- a/src/net/shared_dir.hpp
+++ b/src/net/shared_dir.hpp
@@ -13,8 +13,8 @@
 std::string SanitizeForLog(const std::string& text);
 
 // Access to the folder. It holds one file per live process (`alive.*`, locked), one per server that is
-// administratively down (`out.*`), the handover file with the learned state (`learnt`), and files that are
-// still being written (`new.*`).
+// administratively down (`out.*`), the handover file with the learned state (`learnt`), the table of requests
+// sent recently (`requests`), and files that are still being written (`new.*`).
 class SharedDir {
  public:
   // With an empty path nothing is shared: nothing is read, and writing fails.
@@ -32,6 +32,9 @@
   bool RecordAdminDown(const std::string& server);
   bool ClearAdminDown(const std::string& server);
 
+  // The file for RecentRequests; empty if nothing is shared.
+  std::string RecentRequestsFile() const;
+
   // Writes the learned state to the handover file, atomically; false if that fails.
   bool WriteHandover(const std::string& text);
   // The content of the handover file; empty if there is none.
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -106,6 +106,7 @@
       shared_dir_timer_(io),
       answer_log_(io, counters_, pending_requests_) {
   if (config_.accept_fd) shared_dir_.AcquirePresenceLock();
+  ShareRecentRequests();
   config_.wire.settings.takes_over = shared_dir_.Scan().other_process_alive;
   std::string error;
   balancer_ = Balancer::Create(config_.wire.settings, config_.seed, Now(), *this, error);
@@ -233,6 +234,8 @@
   if (request_class < 0) return Rejection{http::status::not_found, "unknown Req-Kind\n"};
   if (pending_requests_.Contains(std::string(ToStringView(request[kIdHeader]))))
     return Rejection{http::status::conflict, "Req-Id is in use\n"};
+  if (recent_requests_.Contains(ToStringView(request[kIdHeader]), std::chrono::steady_clock::now()))
+    return Rejection{http::status::conflict, "Req-Id has been used\n"};
   return CheckAgainstClass(request,
                            config_.wire.settings.classes[static_cast<std::size_t>(request_class)].repeat);
 }
@@ -316,6 +319,7 @@
   const RequestAttempt& ended = pending->attempts[index];
   if (!ended.in_flight()) return;
   TraceRequest(id, "attempt ended", [&] { return std::to_string(attempt) + " " + ResultName(result); });
+  if (NeverRan(*pending, index, result)) recent_requests_.Remove(id);
   const Micros now = Now();
   Outcome outcome;
   outcome.request = id;
@@ -329,6 +333,15 @@
   balancer_->OnOutcome(now, outcome);
 }
 
+// Whether no attempt of a request can have run, once attempt `ending` has ended with this result.
+bool Sidecar::NeverRan(const PendingRequest& pending, std::size_t ending, Result result) const {
+  for (std::size_t i = 0; i < pending.attempts.size(); ++i) {
+    const std::optional<Result> ended = i == ending ? result : pending.attempts[i].result;
+    if (!ended || !ProvesNeverRan(*ended, config_.wire.settings.refused_may_have_run)) return false;
+  }
+  return true;
+}
+
 void Sidecar::OnRefusedForMemory(const RequestHeader& header) {
   const int request_class = request_mapping_.ClassIndex(ToStringView(header[kClassHeader]));
   answer_log_.CountUnsuccessful("out of memory for requests");
@@ -476,6 +489,7 @@
   }
   TraceRequest(id, "sent",
                [&] { return std::to_string(number) + " to " + server + " within " + FormatSeconds(left); });
+  recent_requests_.Add(id, std::chrono::steady_clock::now());
   attempt.upstream_id = upstream_.Send(server, RequestMapping::ForServer(pending, left), std::move(events));
   pending.attempts.push_back(attempt);
   if (pending.body_pending || attempt.expires_at < pending.deadline) ArmRequestTimer(id, pending);
@@ -544,6 +558,7 @@
 // connections in use at once, whichever process serves them, so each process may still open that many; only
 // the limits on idle connections and on the memory for bodies are halved.
 void Sidecar::PollSharedDir() {
+  ShareRecentRequests();
   const SharedDir::Contents contents = shared_dir_.Scan();
   if (contents.other_process_alive != std::exchange(other_process_alive_, contents.other_process_alive)) {
     const std::size_t processes = other_process_alive_ ? 2 : 1;
@@ -563,6 +578,14 @@
   if (config_.accept_fd) ScheduleSharedDirPoll();  // without a shared listener there is no other process
 }
 
+// Called until it succeeds: the folder may not be writable for a while.
+void Sidecar::ShareRecentRequests() {
+  const std::string file = shared_dir_.RecentRequestsFile();
+  if (!config_.accept_fd || file.empty() || recent_requests_.shared()) return;
+  if (!recent_requests_.Share(file) && !std::exchange(sharing_failure_logged_, true))
+    std::fprintf(stderr, "shared folder: the ids of recent requests cannot be shared\n");
+}
+
 void Sidecar::Drain(std::function<void()> on_drained) {
   if (shutdown_ != nullptr) return;
   upstream_.BeginShutdown();
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -24,6 +24,7 @@
 #include "management.hpp"
 #include "merlinrun/balancer.hpp"
 #include "pending_requests.hpp"
+#include "recent_requests.hpp"
 #include "request_mapping.hpp"
 #include "shared_dir.hpp"
 #include "upstream.hpp"
@@ -89,6 +90,7 @@
   void OnUpstreamAnswer(const std::string& id, int attempt, UpstreamAnswer answer);
   // Marks an attempt as ended and reports its outcome to the Balancer, once.
   void FinishAttempt(const std::string& id, int attempt, Result result, const LoadReport& load = {});
+  bool NeverRan(const PendingRequest& pending, std::size_t ending, Result result) const;
   bool Ready() const;
   std::string StatsJson();
   // Handles an operator's call that takes a server administratively down or up again.
@@ -118,6 +120,7 @@
   void ScheduleSharedDirPoll();
   // Reads the state that the processes of this sidecar share, applies it, and schedules the next poll.
   void PollSharedDir();
+  void ShareRecentRequests();
   void ExpirePendingRequests();
 
   asio::io_context& io_;
@@ -133,6 +136,8 @@
   std::unique_ptr<Inbound> inbound_;
   std::unique_ptr<ManagementEndpoint> management_;
   PendingRequests pending_requests_;
+  RecentRequests recent_requests_;
+  bool sharing_failure_logged_ = false;
   std::unordered_set<std::string> ever_listed_;  // servers
   std::set<std::string> admin_down_;             // servers
   asio::steady_timer shared_dir_timer_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -22,13 +22,6 @@
 namespace merlinrun {
 namespace {
 
-// Whether an outcome proves that the attempt never ran. Some servers also refuse requests that they have
-// begun; their refusal proves nothing.
-bool ProvesNeverRan(Result result, bool refused_may_have_run) {
-  return (result == Result::kRefused && !refused_may_have_run) || result == Result::kUnreachable ||
-         result == Result::kNeverSent;
-}
-
 bool Answered(Result result) {
   return result == Result::kSuccess || result == Result::kError || result == Result::kRefused;
 }
