--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -76,7 +76,7 @@
 
   // Answers with 503 because there are too many connections.
   void RejectOverLimit() {
-    Reject({http::status::service_unavailable, "too many connections\n"});
+    RejectInput({http::status::service_unavailable, "too many connections\n"});
     Read();
   }
 
@@ -194,7 +194,7 @@
     switch (state_) {
       case State::kReading:
         if (incoming_->started) {
-          if (TimedOut(now, limits.request_timeout + BodyAllowance())) Reject(RequestTimeout());
+          if (TimedOut(now, limits.request_timeout + BodyAllowance())) RejectInput(RequestTimeout());
         } else if (TimedOut(now, fresh_ ? limits.request_timeout : limits.idle_timeout) && Idle()) {
           Close();
         }
@@ -368,7 +368,7 @@
       ErrorCode error;
       const std::size_t n =
           FeedParser(parser, buffer_, asio::buffer(chunk.data(), room), kMaxRequestFields, error);
-      if (error) return Reject(RejectionFor(error));
+      if (error) return RejectInput(RejectionFor(error));
       if (!had_header && parser.is_header_done() && !AcceptHeader()) return;
       incoming_->buffered_body.append(chunk.data(), n);
       incoming_->body_received += n;
@@ -393,7 +393,7 @@
     const auto& header = parser.get();
     head_only_ = header.method() == http::verb::head;
     version_ = header.version();
-    if (const auto rejection = CheckRequest(header)) return Reject(*rejection), false;
+    if (const auto rejection = CheckRequest(header)) return RejectInput(*rejection), false;
     const std::uint64_t size =
         parser.chunked() ? kMaxBody : static_cast<std::uint64_t>(parser.content_length().value_or(0));
     const std::size_t cost =
@@ -474,6 +474,12 @@
     owner_.events_.on_client_disconnected(request_id_);
     if (on_chunk) on_chunk(asio::error::connection_aborted, 0, true);
     body_pending_ = false;
+    RejectInput(rejection);
+  }
+
+  // Rejects a request that never became a valid one.
+  void RejectInput(const Rejection& rejection) {
+    if (owner_.events_.on_invalid_input) owner_.events_.on_invalid_input(rejection.text);
     Reject(rejection);
   }
 
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -62,6 +62,9 @@
     std::function<void(const std::string& request)> on_client_disconnected;
     // A valid request has been answered with 503 because the memory limit leaves no room for its body.
     std::function<void(const RequestHeader&)> on_memory_exhausted;
+    // A request, or a connection above the limit, has been rejected without on_request, for this reason. May
+    // be empty, like on_memory_exhausted.
+    std::function<void(const char* reason)> on_invalid_input;
     // Whether GET /ready is answered with 200.
     std::function<bool()> ready;
   };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -122,6 +122,7 @@
   };
   events.on_client_disconnected = [this](const std::string& id) { OnClientDisconnected(id); };
   events.on_memory_exhausted = [this](const RequestHeader& header) { OnRefusedForMemory(header); };
+  events.on_invalid_input = [this](const char* reason) { answer_log_.CountUnsuccessful(reason); };
   events.ready = [this] { return Ready(); };
   Inbound::Limits limits;
   limits.max_sessions = ClientSockets(config_);
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -31,17 +31,11 @@
 // Failures are logged at most once in this interval, and not at all while there are none.
 constexpr auto kLogInterval = std::chrono::seconds(1);
 // In the order of FailureCause.
-constexpr const char* kFailureNames[] = {"not listed",
-                                         "no free connection",
-                                         "dial refused",
-                                         "dial timed out",
-                                         "list changed during dial",
-                                         "request cut off",
-                                         "early answer",
-                                         "reset on new connection",
-                                         "reset on reused connection",
-                                         "unreadable answer",
-                                         "answer cut off"};
+constexpr const char* kFailureNames[] = {
+    "not listed",        "no free connection",       "dial refused",
+    "dial timed out",    "list changed during dial", "request cut off",
+    "early answer",      "reset on new connection",  "reset on reused connection",
+    "unreadable answer", "no memory for the answer", "answer cut off"};
 
 Micros Since(Clock::time_point start) {
   return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - start).count();
@@ -280,13 +274,14 @@
     if (writing_) return AbortWrite(FailureCause::kEarlyAnswer);
     if (!std::exchange(answer_started_, true)) pool_.idle_limit_.Record(idle_before_, /*lost=*/false, Now());
     // An invalid answer counts as a lost one: the request may have run.
-    if (!Parse()) return Fail(Result::kReset, FailureCause::kUnreadableAnswer);
+    if (!Parse()) return Fail(Result::kReset, parse_failure_);
     if (parser_->is_done()) return Complete();
     if (ReadyToStream()) return BeginStreaming();
     Read();
   }
 
   void ResetParser() {
+    parse_failure_ = FailureCause::kUnreadableAnswer;
     buffered_body_ = {};
     parser_.emplace();
     parser_->eager(false);  // stops after the header, which is checked before the body is parsed
@@ -340,8 +335,9 @@
     return true;
   }
 
-  // Checks the header before the body is read. With eager parsing, Boost 1.74 ignores that the length is over
-  // the body limit: an answer with a Content-Length of 3 GB was read until memory ran out.
+  // Checks the header and reserves memory before the body is read. With eager parsing, Boost 1.74 ignores
+  // that the length is over the body limit: an answer with a Content-Length of 3 GB was read until memory ran
+  // out.
   bool TakeHeader() {
     if (!IsAcceptableResponse(parser_->get())) return false;
     if (parser_->get().result_int() < 200) {  // 1xx: another answer follows
@@ -349,7 +345,10 @@
       ResetParser();
       return true;
     }
-    return reservation_.Reserve(pool_.budget_, MaxBuffered() + (IsStreamed() ? kStreamingMemory : 0));
+    if (reservation_.Reserve(pool_.budget_, MaxBuffered() + (IsStreamed() ? kStreamingMemory : 0)))
+      return true;
+    parse_failure_ = FailureCause::kOutOfMemory;
+    return false;
   }
 
   // The peer closed or reset the connection.
@@ -494,7 +493,8 @@
   beast::flat_buffer buffer_{kMaxUnparsed};
   TrailerLimit<beast::flat_buffer> trailer_limit_{buffer_, kMaxAnswerFields};
   std::optional<http::response_parser<http::buffer_body>> parser_;
-  std::string buffered_body_;  // the buffered part of the answer's body
+  FailureCause parse_failure_ = FailureCause::kUnreadableAnswer;  // if the answer is not accepted
+  std::string buffered_body_;                                     // the buffered part of the answer's body
   std::optional<ActiveAttempt> attempt_;
   std::optional<Message<true>> request_;  // until the write begins
   std::shared_ptr<MessageWriter<true>> writer_;
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -104,6 +104,7 @@
     kResetNew,          // connection lost after the first request on it
     kResetReused,       // connection lost after a request on a reused connection
     kUnreadableAnswer,  // the answer is not valid in this protocol
+    kOutOfMemory,       // the memory limit leaves no room for the answer
     kAnswerCutOff,      // connection lost while the answer was being streamed
     kCount
   };
--- a/tests/net/inbound_test.cpp
+++ b/tests/net/inbound_test.cpp
@@ -25,6 +25,7 @@
         Inbound::Respond(session, Inbound::MakeReply(PlainTextResponse(http::status::ok, body)));
     };
     events.on_client_disconnected = [this](const std::string& id) { disconnected.push_back(id); };
+    events.on_invalid_input = [this](const char* reason) { rejected.emplace_back(reason); };
     events.ready = [] { return true; };
     inbound = std::make_unique<Inbound>(io, Loopback(), inherited, limits, budget, std::move(events));
   }
@@ -49,6 +50,7 @@
   std::unique_ptr<Inbound> inbound;
   std::vector<Message<true>> requests;
   std::vector<std::string> disconnected;
+  std::vector<std::string> rejected;  // reasons
   bool answer_requests = true;
   std::string body = "ok";
 };
@@ -67,6 +69,16 @@
   EXPECT_TRUE(requests.empty());
 }
 
+// Guards against a log that shows nothing of what a crowd of invalid requests does to the process.
+TEST_F(InboundTest, TellsWhyInputIsRejected) {
+  Start();
+  EXPECT_EQ(Status(*Client("nonsense\r\n\r\n")), "400");
+  EXPECT_EQ(Status(*Client("GET /api HTTP/1.1\r\nReq-Id: r1\r\nX: " + std::string(9000, 'x'))), "431");
+  EXPECT_EQ(Status(*Client("GET /api HTTP/1.1\r\n")), "408");
+  EXPECT_EQ(rejected, (std::vector<std::string>{"malformed request\n", "header too large\n",
+                                                "the request took too long\n"}));
+}
+
 TEST_F(InboundTest, SendingByteByByteDoesNotExtendTheTimeout) {
   Start();
   auto client = Client("GET /api HTTP/1.1\r\nX: ");
