Servers are told what is left to the client when the request is written, not before the dial

Servers saw: a request whose connection took 1.0 s to come up carried a Req-Deadline that was 1.0 s longer than what its client had left; 0.15 s are allowed.

Cause: `Sidecar::Send` computes the header, and the connection is dialled after that. Only the reasons not to send at all were looked at again once the connection was up (`confirm_send`).

Change: the callback at that moment (now `prepare_send`) also sets the deadline in the header, and sends nothing if no time is left. Requests on connections that are open already are written at once and were not affected.

Tests: ToldDeadlineTest.DoesNotIncludeTheTimeOfTheDial and ...BeforeALongBody, with a server whose connections come up at the second SYN; both failed before. The server that comes up late is shared with ClientDisconnectTest.

--- a/src/net/request_mapping.cpp
+++ b/src/net/request_mapping.cpp
@@ -94,11 +94,15 @@
   forwarded.head.version(11);
   for (const char* name : kRequestHeaders)
     if (const auto it = received.find(name); it != received.end()) forwarded.head.set(name, it->value());
-  forwarded.head.set(kDeadlineHeader, FormatSeconds(time_left));
+  SetDeadline(forwarded.head, time_left);
   forwarded.buffered = pending.message.buffered;
   forwarded.remaining = pending.message.remaining;
   if (forwarded.remaining != nullptr) forwarded.length = pending.message.length;
   return forwarded;
 }
 
+void RequestMapping::SetDeadline(RequestHeader& header, Micros time_left) {
+  header.set(kDeadlineHeader, FormatSeconds(time_left));
+}
+
 }  // namespace merlinrun::net
--- a/src/net/request_mapping.hpp
+++ b/src/net/request_mapping.hpp
@@ -36,6 +36,8 @@
   // The request as a server gets it, with `time_left` as its deadline. Only the headers that the protocol
   // defines are copied: any other header could have a meaning to the server.
   static Message<true> ForServer(const PendingRequest& pending, Micros time_left);
+  // Sets the deadline that a server is told.
+  static void SetDeadline(RequestHeader& header, Micros time_left);
 
  private:
   int TenantIndex(std::string_view name) const;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -474,10 +474,7 @@
   events.done = [this, id, number](UpstreamAnswer answer) {
     OnUpstreamAnswer(id, number, std::move(answer));
   };
-  events.confirm_send = [this, id] {
-    const PendingRequest* const dialed = pending_requests_.Find(id);
-    return dialed != nullptr && dialed->ClientIsWaiting() && !balancer_->DispatchPaused(Now());
-  };
+  events.prepare_send = [this, id, number](RequestHeader& header) { return PrepareSend(id, number, header); };
   if (pending.body_pending) {
     events.body_consumed = [this, id] {
       PendingRequest* const consumed = pending_requests_.Find(id);
@@ -496,6 +493,18 @@
   if (pending.body_pending || attempt.expires_at < pending.deadline) ArmRequestTimer(id, pending);
 }
 
+// The server is told what is left to the client when the request is written: the dial takes a part of it.
+bool Sidecar::PrepareSend(const std::string& id, int number, RequestHeader& header) {
+  PendingRequest* const pending = pending_requests_.Find(id);
+  if (pending == nullptr || !pending->ClientIsWaiting() || balancer_->DispatchPaused(Now())) return false;
+  if (pending->body_pending) UpdateUploadDeadline(*pending);
+  const RequestAttempt& attempt = pending->attempts[static_cast<std::size_t>(number)];
+  const Micros left = std::min(pending->deadline, attempt.expires_at) - Now();
+  if (left <= 0) return false;
+  RequestMapping::SetDeadline(header, left);
+  return true;
+}
+
 void Sidecar::Cancel(std::string_view request, int attempt) {
   const std::string id(request);
   const PendingRequest* const pending = pending_requests_.Find(id);
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -112,6 +112,9 @@
   void AbortUpload(const PendingRequest& pending);
   // Ends the attempts of a request that have expired. The request may be freed.
   void FinishExpiredAttempts(const std::string& id, Micros now);
+  // Updates the header of an attempt whose connection has just been established. Returns false if the request
+  // must not be written any more.
+  bool PrepareSend(const std::string& id, int number, RequestHeader& header);
   static const char* NotSentReason(const PendingRequest& pending);
   std::optional<Rejection> Validate(const RequestHeader& request, int request_class) const;
   // When the final answer to a request is due whose last byte was sent at `complete_at`: within the time that
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -14,8 +14,6 @@
 #include <optional>
 #include <utility>
 
-#include "validate.hpp"
-
 namespace merlinrun::net {
 namespace {
 
@@ -190,7 +188,7 @@
     // dial. Nothing has been written then, so the request has not run.
     if (error) return Fail(Result::kUnreachable, FailureCause::kDialRefused);
     if (!Current()) return Fail(Result::kUnreachable, FailureCause::kDialOutdated);
-    if (attempt_->events.confirm_send && !attempt_->events.confirm_send())
+    if (attempt_->events.prepare_send && !attempt_->events.prepare_send(request_->head))
       return FinishLater(Result::kNeverSent);
     Read();
     WriteRequest();
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -19,6 +19,7 @@
 #include "idle.hpp"
 #include "merlinrun/balancer.hpp"
 #include "protocol.hpp"
+#include "validate.hpp"
 
 namespace merlinrun::net {
 
@@ -38,9 +39,10 @@
   struct Events {
     // Called with the result of the attempt; see Send.
     Done done;
-    // Called when a newly dialled connection is established. If it returns false, nothing is written and the
-    // attempt ends with Result::kNeverSent.
-    std::function<bool()> confirm_send = nullptr;
+    // Called when a newly dialled connection is established, just before the request is written: updates what
+    // has changed in its header during the dial. If it returns false, nothing is written and the attempt ends
+    // with Result::kNeverSent.
+    std::function<bool(RequestHeader&)> prepare_send = nullptr;
     // For a request whose body is not fully buffered: called when its unbuffered part is first read, after
     // which it cannot be sent again ...
     std::function<void()> body_consumed = nullptr;
--- a/tests/net/client_disconnect_test.cpp
+++ b/tests/net/client_disconnect_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cerrno>
 
+#include "late_server.hpp"
 #include "sidecar_fixture.hpp"
 
 namespace merlinrun::net {
@@ -13,47 +14,6 @@
 
 using namespace testing;  // NOLINT(google-build-using-namespace)
 
-// A server whose connections are not established before AcceptConnections is called: one connection fills its
-// backlog, and the kernel drops further SYNs until the backlog is enlarged.
-class LateServer {
- public:
-  explicit LateServer(asio::io_context& io) : acceptor_(io, Tcp::v4()), filler_(io) {
-    acceptor_.bind(Loopback());
-    acceptor_.listen(0);
-    address = acceptor_.local_endpoint();
-    filler_.connect(address);
-  }
-  ~LateServer() {
-    for (auto& peer : peers) peer->on_data = nullptr, peer->Close();
-  }
-  void AcceptConnections() {
-    acceptor_.listen(64);
-    Accept();
-  }
-  std::string Received() const {
-    std::string all;
-    for (const auto& peer : peers) all += peer->received;
-    return all;
-  }
-
-  Tcp::endpoint address;
-  std::vector<std::shared_ptr<Peer>> peers;
-
- private:
-  void Accept() {
-    acceptor_.async_accept([this](ErrorCode error, Tcp::socket socket) {
-      if (error) return;
-      peers.push_back(std::make_shared<Peer>(std::move(socket)));
-      peers.back()->on_data = Serves("late");
-      peers.back()->Read();
-      Accept();
-    });
-  }
-
-  Tcp::acceptor acceptor_;
-  Tcp::socket filler_;
-};
-
 enum class CloseMode { kFin, kReset };
 // What the client has sent behind the request that it abandons. If that is more than the sidecar buffers, the
 // sidecar has stopped reading, and only polling the socket shows the disconnect.
