A client that stops in the middle of a body is answered in time, however much it has sent

Clients that stopped in the middle of a request got their 408 after 3.8 s with 60 kB sent, 24 s with 1 MB and 40 s or more with 10 MB; 3 s are owed. Each held a connection and its memory for as long.

Cause: the minimum rate was reckoned over the whole body (`BodyAllowance`): each 48 kB that had arrived counted for a second, however soon it had come.

Change: what arrives still extends the timeout by the time that it may take, but never to more than one whole timeout (2.5 s) from now. A client that sends steadily above the minimum rate is as before; a client that pauses for longer than that in the middle of a body is now ended, as it cannot be told from one that stopped.

Test: StoppedClientTest, with three sizes, with a length and in chunks; all six failed before.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -194,15 +194,14 @@
     switch (state_) {
       case State::kReading:
         if (incoming_->started) {
-          if (TimedOut(now, limits.request_timeout + BodyAllowance())) RejectInput(RequestTimeout());
+          if (TimedOut(now, limits.request_timeout)) RejectInput(RequestTimeout());
         } else if (TimedOut(now, fresh_ ? limits.request_timeout : limits.idle_timeout) && Idle()) {
           Close();
         }
         return;
       case State::kInProgress:  // no timeout here, unless the client has to send more of the body
         if (PeerClosed()) return OnDisconnect();
-        if (on_chunk_ && TimedOut(now, limits.request_timeout + BodyAllowance()))
-          AbortUpload(RequestTimeout());
+        if (on_chunk_ && TimedOut(now, limits.request_timeout)) AbortUpload(RequestTimeout());
         return;
       case State::kWriting:
         if (streams_answer_ && ClientTakesAnswer()) timeout_start_ = now;
@@ -270,10 +269,14 @@
 
   static Rejection RequestTimeout() { return {http::status::request_timeout, "the request took too long\n"}; }
 
-  // The time allowed for the bytes of the body that have arrived, at the minimum rate.
-  Micros BodyAllowance() const {
-    return static_cast<Micros>(incoming_->body_received) * 1'000'000 /
-           static_cast<Micros>(owner_.limits_.min_body_rate);
+  // Counts bytes of the body that have arrived. They extend the client's timeout by the time that they may
+  // take at the minimum rate, but never to more than a whole timeout from now, so that a client that has sent
+  // much and then stops is answered as soon as one that has sent little.
+  void CountBody(std::size_t bytes) {
+    incoming_->body_received += bytes;
+    const auto allowance = std::chrono::microseconds(static_cast<Micros>(bytes) * 1'000'000 /
+                                                     static_cast<Micros>(owner_.limits_.min_body_rate));
+    timeout_start_ = std::min(timeout_start_ + allowance, Clock::now());
   }
 
   // Whether the client may have sent all of its request. If it has, what was not read yet is in the buffers
@@ -371,7 +374,7 @@
       if (error) return RejectInput(RejectionFor(error));
       if (!had_header && parser.is_header_done() && !AcceptHeader()) return;
       incoming_->buffered_body.append(chunk.data(), n);
-      incoming_->body_received += n;
+      CountBody(n);
       if (buffer_.size() == before) break;  // more input is needed
     }
     if (buffer_.size() == 0)
@@ -450,7 +453,7 @@
     ErrorCode error;
     const std::size_t n = FeedParser(incoming_->parser, buffer_, chunk_buffer_, kMaxRequestFields, error);
     if (error) return AbortUpload(RejectionFor(error));
-    incoming_->body_received += n;
+    CountBody(n);
     const bool over = incoming_->parser.is_done();
     if (n == 0 && !over) return AwaitClient();
     body_pending_ = !over;
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -50,7 +50,8 @@
     Micros linger_timeout = 1'000'000;
     // Interval between two checks of the timeouts.
     Micros sweep_interval = 200'000;
-    // Minimum rate of a request's body, in bytes per second; it extends request_timeout.
+    // Minimum rate of a request's body, in bytes per second. What has arrived extends request_timeout, but not
+    // to more than request_timeout from now.
     std::size_t min_body_rate = 48'000;
   };
   struct Events {
--- a/tests/net/upload_deadline_test.cpp
+++ b/tests/net/upload_deadline_test.cpp
@@ -1,6 +1,7 @@
 // Tests the deadline of requests whose bodies are streamed. A client's time begins with its last byte, which
 // the sidecar may not have read yet: what the server does not take stays in the buffers of the kernel.
 #include <boost/asio/write.hpp>
+#include <tuple>
 
 #include "sidecar_fixture.hpp"
 
@@ -13,6 +14,8 @@
 
 // The latest final answer, after the deadline of the request.
 constexpr auto kAnswerTolerance = milliseconds(500);
+// Within this time a client that stops in the middle of a request is told so.
+constexpr auto kStoppedClientTimeout = milliseconds(3000);
 constexpr auto kPace = milliseconds(5);        // between two reads of a paced server
 constexpr auto kQuietTime = milliseconds(50);  // no more of a request follows
 
@@ -164,6 +167,30 @@
 
 INSTANTIATE_TEST_SUITE_P(WithLengthOrChunked, FramedUploadTest, ::testing::Bool());
 
+// Whether the body is chunked, and how much of the request is sent.
+class StoppedClientTest : public UploadDeadlineTest,
+                          public ::testing::WithParamInterface<std::tuple<bool, std::size_t>> {};
+
+// Guards against connections and memory that are held for as long as a body of that size may take: what had
+// arrived counted for the client after it had stopped.
+TEST_P(StoppedClientTest, IsAnsweredSoonHoweverMuchItHasSent) {
+  const auto [chunked, sent] = GetParam();
+  PacedServer server(io);
+  Start({Entry("s-1", server.address)});
+  server.SetRate(std::size_t{1} << 20);
+  const std::size_t size = sent + 4096;
+  const std::string text = chunked ? Chunked("1.0", size) : WithLength("1.0", size);
+  const auto client = Upload(text.substr(0, sent));
+  EXPECT_EQ(Status(*client), "408");
+  EXPECT_LE(Clock::now() - written_at, kStoppedClientTimeout);
+  EXPECT_TRUE(RunUntil(io, [&] { return sidecar->pending_requests() == 0; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(WithLengthOrChunked, StoppedClientTest,
+                         ::testing::Combine(::testing::Bool(),
+                                            ::testing::Values(kMaxBufferedBody - 4096, std::size_t{1} << 20,
+                                                              std::size_t{10} << 20)));
+
 // Guards against uploads that were given up in a shutdown long before their clients' deadline: the time that
 // the shutdown leaves was counted from the beginning of the request.
 TEST_F(UploadDeadlineTest, AShutdownDoesNotShortenTheTimeOfARequestThatEndsBeforeIt) {
