A request's deadline runs from its arrival, not from when the sidecar gets round to reading it

Servers saw: a Req-Deadline of up to 0.58 s more than what the client had left (0.15 s are allowed), for requests on new connections behind a crowd of 120 idle ones. A request whose client had given up long ago was sent to a server.

The traces show that such a request is `taken` 0.25 to 0.5 s after the one before, with its whole deadline: it waited in the accept queue.

Cause: the client's time ran from when the request was read and parsed. Time in the accept queue, in the receive buffer, or behind another request of the connection counted for nobody.

Change: before a read, the kernel is asked how long ago the newest input of the connection arrived (TCP_INFO); the deadline runs from then, also that of a body that is still being received. If the kernel doesn't tell, it runs from the read as before.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -1,6 +1,7 @@
 #include "inbound.hpp"
 
 #include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <unistd.h>
@@ -315,15 +316,27 @@
 
   void OnReadable(ErrorCode error) {
     if (state_ == State::kClosed) return;
+    const Clock::time_point arrived_at = LastArrival();
     std::size_t n = 0;
     if (!error) n = socket_.read_some(asio::buffer(owner_.input_, MaxRead()), error);
     if (error == asio::error::would_block || error == asio::error::try_again) return Read();
     if (error) return OnDisconnect();
+    input_arrived_at_ = arrived_at;
     present_at_ = Clock::now();
     OnInput(n);
     if (state_ != State::kClosed) Read();
   }
 
+  // When the kernel received the newest input that is unread. It may have waited since: in the accept queue,
+  // or while the event loop was busy. Now, if that is not known.
+  Clock::time_point LastArrival() const {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const int fd = const_cast<Tcp::socket&>(socket_).native_handle();
+    const int failed = ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size);
+    return Clock::now() - std::chrono::milliseconds(failed != 0 ? 0 : info.tcpi_last_data_recv);
+  }
+
   // The number of bytes that may be read at once. It is never 0 while a request is being parsed, because the
   // parser leaves less than a header unparsed.
   std::size_t MaxRead() const {
@@ -355,7 +368,7 @@
     }
     buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(owner_.input_, n)));
     if (state_ == State::kReading) return Parse();
-    if (std::exchange(awaits_client_, false)) incomplete_at_ = Clock::now();
+    if (std::exchange(awaits_client_, false)) incomplete_at_ = input_arrived_at_;
     if (on_chunk_) SupplyBody();
   }
 
@@ -436,7 +449,8 @@
       request.buffered = std::make_shared<const std::string>(std::move(incoming_->buffered_body));
     incoming_->buffered_body = {};
     if (body_pending_) request.remaining = shared_from_this();
-    chunk_passed_at_ = incomplete_at_ = present_at_ = Clock::now();
+    incomplete_at_ = input_arrived_at_;
+    chunk_passed_at_ = present_at_ = Clock::now();
     try {
       owner_.events_.on_request(shared_from_this(), std::move(request));
     } catch (const std::exception&) {
@@ -529,13 +543,14 @@
   MemoryReservation request_memory_;
   MemoryReservation answer_memory_;
   State state_ = State::kReading;
-  Clock::time_point timeout_start_;    // when the timeout of the current state began
-  asio::mutable_buffer chunk_buffer_;  // where a pending read of the body puts the next chunk ...
-  ReadHandler on_chunk_;               // ... and its callback; null if no read is pending
-  Clock::time_point chunk_passed_at_;  // when the last chunk of the body was handed over
-  Clock::time_point incomplete_at_;    // the request was incomplete then; not known for later times
-  Clock::time_point present_at_;       // when something was read from the client, or its request dispatched
-  std::size_t lingered_bytes_ = 0;     // input discarded while the connection is being closed
+  Clock::time_point timeout_start_;     // when the timeout of the current state began
+  asio::mutable_buffer chunk_buffer_;   // where a pending read of the body puts the next chunk ...
+  ReadHandler on_chunk_;                // ... and its callback; null if no read is pending
+  Clock::time_point chunk_passed_at_;   // when the last chunk of the body was handed over
+  Clock::time_point input_arrived_at_;  // when the newest input that has been read arrived
+  Clock::time_point incomplete_at_;     // the request was incomplete then; not known for later times
+  Clock::time_point present_at_;        // when something was read from the client, or its request dispatched
+  std::size_t lingered_bytes_ = 0;      // input discarded while the connection is being closed
   std::size_t max_lingering_bytes_ = kMaxLingeringBytes;
   std::size_t unacknowledged_before_ = 0;  // see ClientTakesAnswer
   unsigned version_ = 11;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -256,7 +256,8 @@
     return Inbound::Reject(session, *rejection);
   }
   const Micros now = Now();
-  const Micros deadline = ComputeDeadline(request.head, static_cast<std::size_t>(request_class), now);
+  const Micros deadline = ComputeDeadline(request.head, static_cast<std::size_t>(request_class),
+                                          ToBalancerTime(Inbound::RequestIncompleteAt(session)));
   const Micros budget = std::max<Micros>(deadline - now, 0);
   TraceRequest(id, "taken", [&] { return "budget " + FormatSeconds(budget); });
 
