A process that had to reject connections serves new clients again as soon as it can

Callers saw: with 128 idle clients that reconnect and few descriptors, every request of every new client was answered with 503, 11,553 times in one second, for as long as clients kept coming; idle connections were open all the while.

Cause: a new connection closed one other, and lingering ones, which have had their 503, go first. Once the connections were above the limit, each new one therefore closed a rejected one, was above the limit itself, was rejected and took its place. That needs one moment in which no connection can be closed, e.g. when the input of many is not read yet.

Change: connections are closed until there is room for the new one, or none is left that can be closed.

Test: InboundTest.ServesNewClientsOnceThoseBeforeAreIdleHoweverManyWereRejected; it got 503 before.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -630,7 +630,8 @@
 // Connections are accepted even at the limit, and rejected with 503. If accepting stopped, clients would wait
 // in the backlog without any answer.
 void Inbound::Add(Tcp::socket socket) {
-  if (sessions_.size() >= std::min(limits_.soft_max_sessions, limits_.max_sessions)) EvictLeastUseful();
+  while (sessions_.size() >= std::min(limits_.soft_max_sessions, limits_.max_sessions) && EvictLeastUseful())
+    continue;
   const bool below_limit = sessions_.size() < limits_.max_sessions;
   if (sessions_.size() >= limits_.max_sessions + kMaxRejectedSessions) return;  // closes the socket
   ErrorCode error;
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -50,8 +50,8 @@
     Micros linger_timeout = 1'000'000;
     // Interval between two checks of the timeouts.
     Micros sweep_interval = 200'000;
-    // Minimum rate of a request's body, in bytes per second. What has arrived extends request_timeout, but not
-    // to more than request_timeout from now.
+    // Minimum rate of a request's body, in bytes per second. What has arrived extends request_timeout, but
+    // not to more than request_timeout from now.
     std::size_t min_body_rate = 48'000;
   };
   struct Events {
@@ -101,8 +101,8 @@
   // request at a time.
   static bool ClientMayHaveLeft(const SessionPtr& session);
   // The latest time, as far as it is known, at which the client of the session's request cannot have sent its
-  // last byte yet; once that is read, when it arrived. The client's time runs from then on at the earliest: the
-  // rest of the request may have been in the buffers of the kernel since.
+  // last byte yet; once that is read, when it arrived. The client's time runs from then on at the earliest:
+  // the rest of the request may have been in the buffers of the kernel since.
   static std::chrono::steady_clock::time_point RequestIncompleteAt(const SessionPtr& session);
 
   // From now on each connection is closed after its next answer.
--- a/tests/net/inbound_test.cpp
+++ b/tests/net/inbound_test.cpp
@@ -193,6 +193,29 @@
   for (const auto& client : working) EXPECT_FALSE(client->ended);
 }
 
+// Guards against a process that rejects all clients for as long as they keep coming: connections that had
+// been rejected were closed one for one with new ones, so their number stayed above the limit.
+TEST_F(InboundTest, ServesNewClientsOnceThoseBeforeAreIdleHoweverManyWereRejected) {
+  limits.max_sessions = 4;
+  limits.request_timeout = limits.idle_timeout = limits.linger_timeout = 60'000'000;
+  Start();
+  const std::string request = Get("r1");
+  const std::size_t half = request.size() / 2;
+  std::vector<std::shared_ptr<Peer>> clients;
+  for (int i = 0; i < 4; ++i) clients.push_back(Client(request.substr(0, half)));
+  RunFor(io, 20ms);
+  std::vector<std::shared_ptr<Peer>> rejected_clients;
+  for (int i = 0; i < 3; ++i) {
+    rejected_clients.push_back(Client(request));
+    EXPECT_EQ(Status(*rejected_clients.back()), "503");
+  }
+  for (const auto& client : clients) {
+    client->Write(request.substr(half));
+    EXPECT_EQ(Status(*client), "200");
+  }
+  EXPECT_EQ(Status(*Client(request)), "200");
+}
+
 TEST_F(InboundTest, BytesBehindARejectedRequestAreNotParsed) {
   Start();
   const std::string hidden = Get("hidden");
