A new client behind a crowd of connections waits for few turns of the event loop, not one for each

Callers saw: a request on a new connection behind 120 idle ones was taken up 0.25 to 1.3 s after it was sent, on a busy machine, while all other clients were served. One got its answer over 0.5 s after its deadline.

Cause: one connection was accepted in each turn of the loop, and each turn serves whatever else is ready.

Change: up to 32 connections are accepted in a turn, for as long as there is room for them or an idle one can be closed. Beyond that it is one in a turn, as before, so that connections above the limit still get their 503.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -26,6 +26,9 @@
 // Pause before the next accept after an error such as EMFILE; without it accepting would fail in a
 // busy loop.
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+// Maximum number of connections that are accepted in one turn of the event loop. With one at a time, a client
+// behind a crowd would wait for as many turns, in each of which all other clients are served.
+constexpr int kMaxAcceptsPerTurn = 32;
 // Maximum number of bytes that are read and discarded from a client whose connection is being closed. Closing
 // a socket with unread input resets the connection, and the client might lose its answer. Beyond this number
 // the connection is closed all the same.
@@ -616,6 +619,7 @@
   if (!error) {
     // Serve the connection even if the listener has closed since: the client may have sent its request.
     Add(std::move(socket));
+    AcceptWaiting(kMaxAcceptsPerTurn - 1);
     return Accept();
   }
   if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
@@ -627,6 +631,23 @@
   });
 }
 
+// Accepts connections that wait in the backlog, `max` at most, and only while there is room for them: the
+// input of the others has to be read before it is known which of them can be closed.
+void Inbound::AcceptWaiting(int max) {
+  ErrorCode error;
+  acceptor_.non_blocking(true, error);
+  for (int i = 0; i < max && !error && HasRoom(); ++i) {
+    Tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) Add(std::move(socket));
+  }
+}
+
+bool Inbound::HasRoom() const {
+  return sessions_.size() < std::min(limits_.soft_max_sessions, limits_.max_sessions) ||
+         LeastUsefulSession() != nullptr;
+}
+
 // Connections are accepted even at the limit, and rejected with 503. If accepting stopped, clients would wait
 // in the backlog without any answer.
 void Inbound::Add(Tcp::socket socket) {
@@ -644,10 +665,10 @@
   ScheduleSweep();
 }
 
-// Closes the least useful connection, in this order: one that is lingering after its last answer, one that
-// has sent nothing yet, one that has been idle for at least min_idle, any idle one. Returns false if there is
-// none.
-bool Inbound::EvictLeastUseful() {
+// The connection that is closed first if they run short, in this order: one that is lingering after its last
+// answer, one that has sent nothing yet, one that has been idle for at least min_idle, any idle one. Null if
+// there is none.
+Inbound::SessionPtr Inbound::LeastUsefulSession() const {
   const auto now = Clock::now();
   const std::function<bool(const Session&)> choices[] = {
       [](const Session& s) { return s.Lingering(); }, [](const Session& s) { return s.Unused(); },
@@ -655,12 +676,16 @@
       [](const Session& s) { return s.Idle(); }};
   for (const auto& choice : choices)
     for (const SessionPtr& session : sessions_)
-      if (choice(*session)) {
-        const SessionPtr closing = session;  // keeps it alive: Close removes it from the list
-        closing->Close();
-        return true;
-      }
-  return false;
+      if (choice(*session)) return session;
+  return nullptr;
+}
+
+// Closes the least useful connection. Returns false if there is none.
+bool Inbound::EvictLeastUseful() {
+  const SessionPtr session = LeastUsefulSession();
+  if (session == nullptr) return false;
+  session->Close();
+  return true;
 }
 
 void Inbound::Remove(const Session& session) { sessions_.erase(session.position); }
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -126,7 +126,11 @@
  private:
   void Accept();
   void OnAccepted(ErrorCode error, Tcp::socket socket);
+  void AcceptWaiting(int max);
   void Add(Tcp::socket socket);
+  // Whether a new connection would be below the limits, or one could be closed for it.
+  bool HasRoom() const;
+  SessionPtr LeastUsefulSession() const;
   bool EvictLeastUseful();
   void Remove(const Session& session);
   void CloseListener();
--- a/tests/net/inbound_test.cpp
+++ b/tests/net/inbound_test.cpp
@@ -178,6 +178,25 @@
   EXPECT_TRUE(Ends(*silent.front()));
 }
 
+// Guards against a client that is answered late because a crowd has connected before it: one connection was
+// accepted in each turn of the event loop, in which all other clients are served.
+TEST_F(InboundTest, ARequestBehindACrowdOfNewConnectionsIsReadWithinFewTurnsOfTheLoop) {
+  constexpr int kCrowd = 128;
+  limits.soft_max_sessions = 64;  // connections of the crowd are closed for new ones
+  Start();
+  std::vector<std::shared_ptr<Peer>> crowd;
+  for (int i = 0; i < kCrowd; ++i) crowd.push_back(Client());
+  const auto client = Client(Get("r1"));
+  int turns = 0;
+  std::function<void()> count_turn = [&] {
+    ++turns;
+    asio::post(io, count_turn);
+  };
+  asio::post(io, count_turn);
+  ASSERT_TRUE(RunUntil(io, [&] { return !requests.empty(); }));
+  EXPECT_LT(turns, kCrowd / 4);
+}
+
 TEST_F(InboundTest, RejectsNewConnectionsWith503WhileAllOthersAreBusy) {
   limits.max_sessions = 4;
   answer_requests = false;
