Move what the kernel tells of a connection into a module of its own

Clean-up, no change of behaviour: the system calls that ask for unread input, unacknowledged output, a peer's close and the age of the newest input stood in the 740 lines of inbound.cpp. An include that was not used is removed from recent_requests.cpp.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -1,9 +1,5 @@
 #include "inbound.hpp"
 
-#include <linux/sockios.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -18,6 +14,8 @@
 #include <utility>
 #include <vector>
 
+#include "socket_state.hpp"
+
 namespace merlinrun::net {
 namespace {
 
@@ -87,9 +85,8 @@
   // Whether the connection is between requests and no byte of the next one has arrived, so that closing it
   // loses no request.
   bool Idle() const {
-    ErrorCode error;
     return state_ == State::kReading && buffer_.size() == 0 && !incoming_->started &&
-           socket_.available(error) == 0;
+           UnreadBytes(socket_) == 0;
   }
   // Idle since it was accepted.
   bool Unused() const { return fresh_ && Idle(); }
@@ -100,13 +97,7 @@
   bool AnswerInTransit(Clock::time_point now) const {
     if (state_ != State::kReading && state_ != State::kLingering) return false;
     if (TimedOut(now, owner_.limits_.answer_timeout)) return false;
-    return UnacknowledgedBytes() > 0;
-  }
-  // What has been written and the client's kernel has not acknowledged, in bytes; 0 if that is not known.
-  std::size_t UnacknowledgedBytes() const {
-    int bytes = 0;
-    const int failed = ::ioctl(const_cast<Tcp::socket&>(socket_).native_handle(), SIOCOUTQ, &bytes);
-    return failed != 0 || bytes < 0 ? 0 : static_cast<std::size_t>(bytes);
+    return UnacknowledgedBytes(socket_) > 0;
   }
   // Whether the client has sent a request, or part of one, and has not received its complete answer.
   bool AwaitsAnswer(Clock::time_point now) const { return AnswerInTransit(now) || (!Lingering() && !Idle()); }
@@ -161,21 +152,13 @@
 
   // Whether the client has closed or reset its connection while its request is in progress. Input that it
   // sent before that may still be unread.
-  bool PeerClosed() const {
-    pollfd fd{const_cast<Tcp::socket&>(socket_).native_handle(), POLLRDHUP, 0};
-    return state_ == State::kInProgress && ::poll(&fd, 1, /*timeout=*/0) == 1 &&
-           (fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-  }
+  bool PeerClosed() const { return state_ == State::kInProgress && PeerHasClosed(socket_); }
 
   // See Inbound::ClientMayHaveLeft.
   bool MayHaveLeft() const {
     // A body that is still being received stays unread for as long as no attempt takes it.
     if (body_pending_ || Clock::now() - present_at_ < kPresenceTime) return false;
-    ErrorCode error;
-    asio::socket_base::receive_buffer_size capacity;
-    socket_.get_option(capacity, error);
-    const auto buffer_size = static_cast<std::size_t>(error ? 0 : std::max(capacity.value(), 0));
-    return socket_.available(error) >= std::max(buffer_size / kMaxUnreadFraction, kMinUnread);
+    return UnreadBytes(socket_) >= std::max(ReceiveBufferSize(socket_) / kMaxUnreadFraction, kMinUnread);
   }
 
   // See Inbound::RequestIncompleteAt.
@@ -225,7 +208,7 @@
   // that completes is no measure of this: the kernel's buffer may hold megabytes, and takes more only when a
   // large part of them has been read.
   bool ClientTakesAnswer() {
-    const std::size_t bytes = UnacknowledgedBytes();
+    const std::size_t bytes = UnacknowledgedBytes(socket_);
     const bool taken = bytes + kChunkSize <= unacknowledged_before_;
     unacknowledged_before_ = taken ? bytes : std::max(bytes, unacknowledged_before_);
     return taken;
@@ -292,8 +275,7 @@
     if (!length) return true;
     const std::size_t received = incoming_->body_received + buffer_.size();
     if (*length <= received + kMaxClientSendBuffer) return true;
-    ErrorCode error;
-    return *length <= received + socket_.available(error) + kMaxClientSendBuffer;
+    return *length <= received + UnreadBytes(socket_) + kMaxClientSendBuffer;
   }
 
   void UpdateIncompleteAt() {
@@ -319,7 +301,8 @@
 
   void OnReadable(ErrorCode error) {
     if (state_ == State::kClosed) return;
-    const Clock::time_point arrived_at = LastArrival();
+    // Asked for before the read: the input may have waited, in the accept queue or for the event loop.
+    const Clock::time_point arrived_at = LastInputAt(socket_);
     std::size_t n = 0;
     if (!error) n = socket_.read_some(asio::buffer(owner_.input_, MaxRead()), error);
     if (error == asio::error::would_block || error == asio::error::try_again) return Read();
@@ -330,16 +313,6 @@
     if (state_ != State::kClosed) Read();
   }
 
-  // When the kernel received the newest input that is unread. It may have waited since: in the accept queue,
-  // or while the event loop was busy. Now, if that is not known.
-  Clock::time_point LastArrival() const {
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    const int fd = const_cast<Tcp::socket&>(socket_).native_handle();
-    const int failed = ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size);
-    return Clock::now() - std::chrono::milliseconds(failed != 0 ? 0 : info.tcpi_last_data_recv);
-  }
-
   // The number of bytes that may be read at once. It is never 0 while a request is being parsed, because the
   // parser leaves less than a header unparsed.
   std::size_t MaxRead() const {
@@ -482,8 +455,7 @@
 
   // Waits for more of the body: all that the client has sent is read.
   void AwaitClient() {
-    ErrorCode error;
-    awaits_client_ = socket_.available(error) == 0;
+    awaits_client_ = UnreadBytes(socket_) == 0;
     Read();
   }
 
--- a/src/net/recent_requests.cpp
+++ b/src/net/recent_requests.cpp
@@ -2,7 +2,6 @@
 
 #include <fcntl.h>
 #include <sys/mman.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <utility>
