The list counts as current up to the arrival of the watch's data, not up to its read

A sidecar that was held up for 0.7 s took the list for current 0.7 s longer than it was known to be: data that had waited in the kernel confirmed it up to the read. What a watch missed after that data would have been heeded as much later, past the grace of drains.

Cause: the same as with deadlines told to servers: time spent in a receive buffer that no clock counts.

Change: `ListAge` is told when the kernel received the data (LastInputAt); so is the beginning of an incomplete object. The timeout for a silent watch still runs from the read: after a stall, data that is unread must not end the watch.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "object_splitter.hpp"
+#include "socket_state.hpp"
 
 namespace merlinrun::net {
 namespace {
@@ -129,27 +130,29 @@
 
   void OnChunk() {
     if (owner_ == nullptr) return;
-    const auto now = Clock::now();
+    // The data may have waited to be read, and says nothing of the list since it arrived.
+    const Clock::time_point received_at = LastInputAt(tcp_.socket());
     owner_->OnData();
-    if (!objects_.inside_object()) object_began_at_ = now;
+    if (!objects_.inside_object()) object_began_at_ = received_at;
     for (const char c : std::string_view(chunk_.data(), chunk_.size() - parser_.get().body().size)) {
       if (owner_ == nullptr) return;
       if (!objects_.Append(c)) return End(CallResult::kInvalidData, "no valid JSON");
       if (const auto object = objects_.TakeObject()) {
-        object_began_at_ = now;
+        object_began_at_ = received_at;
         owner_->OnObject(*this, *object);
       }
     }
     if (owner_ == nullptr) return;  // the last object was rejected
     if (objects_.size() > kMaxObjectSize) return End(CallResult::kInvalidData, "object too large");
-    UpdateAge(now, /*received_data=*/chunk_.size() > parser_.get().body().size);
+    UpdateAge(received_at, /*received_data=*/chunk_.size() > parser_.get().body().size);
     ReadBody();
   }
 
-  // A watch delivers changes without delay, so the list is current now unless an object is incomplete.
-  void UpdateAge(Clock::time_point now, bool received_data) {
+  // A watch delivers changes without delay, so the list was current when its data was received, unless an
+  // object is incomplete.
+  void UpdateAge(Clock::time_point received_at, bool received_data) {
     ReportPartialObject(*owner_);
-    if (received_data && !full_list_ && !objects_.inside_object()) owner_->age_.ConfirmCurrent(now);
+    if (received_data && !full_list_ && !objects_.inside_object()) owner_->age_.ConfirmCurrent(received_at);
     owner_->ReportAge();
   }
 
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -1,6 +1,8 @@
 // Tests of the discovery watch: how it is read, when it is reopened, and how invalid lists are handled.
 #include "net/discovery.hpp"
 
+#include <thread>
+
 #include "loopback.hpp"
 
 namespace merlinrun::net {
@@ -167,6 +169,21 @@
   }
 }
 
+// Guards against requests to draining servers from a sidecar that was held up: the list counted as current up
+// to when the data of the watch was read, which may be long after it was sent.
+TEST_F(DiscoveryTest, DataThatWaitedToBeReadConfirmsTheListOnlyUpToItsArrival) {
+  constexpr auto kHeldUp = 700ms;
+  constexpr auto kSlack = 100ms;
+  Start({Chunk(Line(42, "s-a"))});
+  ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 1; }));
+  const auto before = discovery->missed_changes_take_effect_at();
+  const auto sent_at = ListAge::Clock::now();
+  server->peers[0]->Write(Chunk("\n"));
+  std::this_thread::sleep_for(kHeldUp);
+  ASSERT_TRUE(RunUntil(io, [&] { return discovery->missed_changes_take_effect_at() != before; }));
+  EXPECT_LE(*discovery->missed_changes_take_effect_at(), sent_at + std::chrono::microseconds(kDay) + kSlack);
+}
+
 // Discovery has written the change, so a partial object takes effect without delay.
 TEST_F(DiscoveryTest, APartialObjectTakesEffectFromItsFirstByte) {
   Discovery::Timing timing = LongTimeouts();
