One place accepts a waiting connection, and one compares their number with the limits

Clean-up, no change of behaviour: StopAccepting and AcceptWaiting had the same loop, and Add and HasRoom the same comparison.

Run on it: format; clang-tidy of inbound.cpp; the release tests but the known failures (592 of 592); under the sanitizers the tests of inbound connections, idle clients, shutdowns and told deadlines (33 of 33).

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -606,25 +606,29 @@
 // Accepts connections that wait in the backlog, `max` at most, and only while there is room for them: the
 // input of the others has to be read before it is known which of them can be closed.
 void Inbound::AcceptWaiting(int max) {
+  for (int i = 0; i < max && HasRoom() && AcceptOne(); ++i) continue;
+}
+
+bool Inbound::AcceptOne() {
+  Tcp::socket socket(io_);
   ErrorCode error;
   acceptor_.non_blocking(true, error);
-  for (int i = 0; i < max && !error && HasRoom(); ++i) {
-    Tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (!error) Add(std::move(socket));
-  }
+  if (!error) acceptor_.accept(socket, error);
+  if (error) return false;
+  Add(std::move(socket));
+  return true;
 }
 
-bool Inbound::HasRoom() const {
-  return sessions_.size() < std::min(limits_.soft_max_sessions, limits_.max_sessions) ||
-         LeastUsefulSession() != nullptr;
+bool Inbound::BelowLimits() const {
+  return sessions_.size() < std::min(limits_.soft_max_sessions, limits_.max_sessions);
 }
 
+bool Inbound::HasRoom() const { return BelowLimits() || LeastUsefulSession() != nullptr; }
+
 // Connections are accepted even at the limit, and rejected with 503. If accepting stopped, clients would wait
 // in the backlog without any answer.
 void Inbound::Add(Tcp::socket socket) {
-  while (sessions_.size() >= std::min(limits_.soft_max_sessions, limits_.max_sessions) && EvictLeastUseful())
-    continue;
+  while (!BelowLimits() && EvictLeastUseful()) continue;
   const bool below_limit = sessions_.size() < limits_.max_sessions;
   if (sessions_.size() >= limits_.max_sessions + kMaxRejectedSessions) return;  // closes the socket
   ErrorCode error;
@@ -699,13 +703,7 @@
   // The processes that share an inherited listener accept what waits in its backlog.
   if (inherited_) return CloseListener();
   // Clients in the backlog may have sent their requests; closing the listener would reset their connections.
-  ErrorCode error;
-  acceptor_.non_blocking(true, error);
-  while (!error) {
-    Tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (!error) Add(std::move(socket));
-  }
+  while (AcceptOne()) continue;
   CloseListener();
 }
 
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -127,7 +127,11 @@
   void Accept();
   void OnAccepted(ErrorCode error, Tcp::socket socket);
   void AcceptWaiting(int max);
+  // Accepts one connection that waits in the backlog. Returns false if there is none.
+  bool AcceptOne();
   void Add(Tcp::socket socket);
+  // Whether there is room for a new connection without closing another.
+  bool BelowLimits() const;
   // Whether a new connection would be below the limits, or one could be closed for it.
   bool HasRoom() const;
   SessionPtr LeastUsefulSession() const;
